--- a/duneridge/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""duneridge: the decisions of a router before tiers of caches with one origin behind them."""
--- a/duneridge/benchlink.py
+++ b/starlinghaven/benchlink.py
@@ -7,8 +7,8 @@
 from collections.abc import Iterator
 from typing import Any, TextIO
 
-from duneridge import interface as i
-from duneridge.router import Router
+from starlinghaven import interface as i
+from starlinghaven.router import Router
 
 EFFECTS = {"free": i.Effect.SAFE, "guarded": i.Effect.KEYED, "single_shot": i.Effect.UNSAFE}
 SCOPES = {"all": i.Scope.ALL, "zone": i.Scope.ZONE, "cell": i.Scope.CELL}
@@ -233,7 +233,7 @@
         try:
             reply = link.batch(line)
         except WireError as error:
-            print(f"duneridge: line {number}: {error}", file=sys.stderr)
+            print(f"starlinghaven: line {number}: {error}", file=sys.stderr)
             return 2
         sink.write(reply + "\n")
         sink.flush()
--- a/duneridge/router.py
+++ b/starlinghaven/router.py
@@ -16,7 +16,7 @@
 from hashlib import blake2b
 from heapq import nlargest, nsmallest
 
-from duneridge import interface as i
+from starlinghaven import interface as i
 
 # Popularity.
 COUNTS = 4096  # objects counted at most; a location's live objects fit well within
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -5,7 +5,7 @@
 from dataclasses import replace
 from typing import Any
 
-from duneridge.interface import (
+from starlinghaven.interface import (
     Action,
     Code,
     Effect,
@@ -24,7 +24,7 @@
     Settings,
     Weights,
 )
-from duneridge.router import Router
+from starlinghaven.router import Router
 
 VIDEO, PAGE, PAY = 0, 1, 2
 CLASSES = (
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from duneridge.benchlink import Link, main
+from starlinghaven.benchlink import Link, main
 
 SETUP: dict[str, Any] = {
     "Az": 1,
@@ -68,7 +68,7 @@
     sink = io.StringIO()
     assert main(io.StringIO(text + "\n"), sink) != 0
     said = capsys.readouterr().err
-    assert said.startswith("duneridge: line 1: ") and "Traceback" not in said and sink.getvalue() == ""
+    assert said.startswith("starlinghaven: line 1: ") and "Traceback" not in said and sink.getvalue() == ""
 
 
 def test_impossible_settings_are_named(capsys: pytest.CaptureFixture[str]) -> None:
@@ -83,6 +83,6 @@
 
 
 def test_the_decision_module_keeps_its_size() -> None:
-    lines = (Path(__file__).parent.parent / "duneridge" / "router.py").read_text().splitlines()
+    lines = (Path(__file__).parent.parent / "starlinghaven" / "router.py").read_text().splitlines()
     assert sum(bool(text.strip()) for text in lines) <= 650
     assert max(map(len, lines)) <= 110
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -4,8 +4,8 @@
 
 from dataclasses import replace
 
-from duneridge import router as module
-from duneridge.interface import (
+from starlinghaven import router as module
+from starlinghaven.interface import (
     Action,
     Cancel,
     Code,
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -5,8 +5,8 @@
 import math
 from dataclasses import replace
 
-from duneridge import router as module
-from duneridge.interface import Get, ListKind, Member, Members, Phase, Send
+from starlinghaven import router as module
+from starlinghaven.interface import Get, ListKind, Member, Members, Phase, Send
 from tests.helpers import FLEET, PAGE, PAY, Driver, cache, drained, parent
 
 
--- a/tests/test_odd_input.py
+++ b/tests/test_odd_input.py
@@ -5,7 +5,7 @@
 import re
 from pathlib import Path
 
-from duneridge.interface import (
+from starlinghaven.interface import (
     Action,
     Code,
     Fail,
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -9,8 +9,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from duneridge import router as module
-from duneridge.interface import (
+from starlinghaven import router as module
+from starlinghaven.interface import (
     Action,
     Code,
     Effect,
@@ -29,7 +29,7 @@
     Timer,
     Watch,
 )
-from duneridge.router import Router
+from starlinghaven.router import Router
 from tests.helpers import (
     CLASSES,
     FLEET,
