--- /dev/null
+++ b/starlinghaven/program/caches.py
@@ -0,0 +1,192 @@
+"""The cache side: carries the engine's attempts out over pooled connections."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Sequence
+
+import trio
+
+from starlinghaven import interface as i
+from starlinghaven.protocol import ProtocolError, caches
+from starlinghaven.routing.engine import Engine
+from starlinghaven.routing.types import Attempt, Counters, Ended
+from starlinghaven.transport.connection import Connection
+from starlinghaven.transport.pool import DialFailed, Link, Pool
+from starlinghaven.transport.ring import Memory, Ring
+
+log = logging.getLogger(__name__)
+
+SILENT_S = 1.0  # seconds without a word on which a connection takes no new attempts
+
+CODES = {
+    "served": i.Code.OK,
+    "still_good": i.Code.OK,
+    "not_here": i.Code.MISS,
+    "overload": i.Code.FULL,
+    "crashed": i.Code.ERROR,
+    "nobody": i.Code.MOOT,
+}
+
+
+Where = dict[Attempt, "CacheLink | trio.CancelScope"]
+"""Where each attempt is: on a connection, or waiting for one."""
+
+
+class CacheLink(Link):
+    """One connection to a store and the attempts that are out on it, by id."""
+
+    def __init__(self, connection: Connection, engine: Engine, address: str, where: Where) -> None:
+        super().__init__(connection)
+        self.address = address
+        self.out: dict[str, tuple[Attempt, float]] = {}
+        self.dropped: set[str] = set()  # ids given up here while others are out
+        self._engine, self._where = engine, where
+        self._reader = caches.reader()
+
+    async def feed(self, ring: Ring) -> int:  # type: ignore[override]
+        try:
+            while (words := self._reader.next(ring)) is not None:
+                await self._said(caches.parse(words))
+        except ProtocolError as error:
+            log.warning("store %s sent what is no answer: %s", self.address, error)
+            self.connection.abort()
+        return self._reader.wanted
+
+    async def _said(self, said: caches.Said) -> None:
+        attempt, _ = self.out.pop(said.id, (None, 0.0))
+        if attempt is None:
+            return  # dropped before
+        if said.id in self.dropped:
+            # Perhaps the answer to an earlier attempt under this id, which crossed its DROP: then the
+            # later one is still out, and nothing may follow before it is given up too.
+            self.connection.write(caches.drop([said.id]))
+        del self._where[attempt]
+        self.done()
+        await self._engine.post(
+            Ended(
+                attempt,
+                CODES[said.word],
+                said.body,
+                unchanged=said.word == "still_good",
+                tag=said.rev,
+                note=said.note,
+                waited_ms=said.filled_ms,
+                report=said.load,
+            )
+        )
+
+    def give_up(self, attempt: Attempt) -> None:
+        held = self.out.pop(attempt.ask.id, None)
+        if held is None:
+            return  # its end is on the way through the queue
+        self.connection.write(caches.drop([attempt.ask.id]))
+        self.dropped.add(attempt.ask.id)
+        self.done()
+        if not self.streams:
+            self.dropped.clear()
+
+    @property
+    def silent(self) -> bool:
+        """Whether it has said nothing for long while something was out."""
+        since = min((sent for _, sent in self.out.values()), default=trio.current_time())
+        return trio.current_time() - max(since, self.connection.heard_at) > SILENT_S
+
+    async def ended(self) -> None:
+        lost, self.out = self.out, {}
+        for attempt, _ in lost.values():
+            self._where.pop(attempt, None)
+            self.done()
+            await self._engine.post(Ended(attempt, i.Code.RESET))
+
+
+class Caches:
+    """Implements the engine's cache side."""
+
+    def __init__(
+        self,
+        engine: Engine,
+        classes: Sequence[str],
+        memory: Memory,
+        counters: Counters,
+        *,
+        dial_s: float,
+        streams: int,
+        idle_s: float,
+        most: int,
+    ) -> None:
+        self._engine, self._classes, self._counters = engine, classes, counters
+        self._where: Where = {}
+        self.pool: Pool[CacheLink] = Pool(
+            lambda address, connection: CacheLink(connection, engine, address, self._where),
+            memory,
+            dial_s=dial_s,
+            streams=streams,
+            idle_s=idle_s,
+            most=most,
+        )
+        self._nursery: trio.Nursery | None = None
+
+    async def run(self) -> None:
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            nursery.start_soon(self.pool.run)
+
+    def send(self, attempt: Attempt) -> None:
+        link = self.pool.ready(attempt.address)
+        if link and attempt.ask.id not in link.out:
+            self._write(link, attempt)
+            return
+        assert self._nursery is not None
+        scope = self._where[attempt] = trio.CancelScope()
+        self._nursery.start_soon(self._dial, attempt, scope)
+
+    async def _dial(self, attempt: Attempt, scope: trio.CancelScope) -> None:
+        code = i.Code.NO_CONNECTION
+        with scope:
+            try:
+                link = await self.pool.link(attempt.address)
+                if attempt.ask.id not in link.out:
+                    self._write(link, attempt)
+                    return
+                code = i.Code.MOOT  # another request with this id is out there: never two under one
+            except DialFailed as error:
+                self._counters.add("dials_failed")
+                log.info("no connection: %s", error)
+            del self._where[attempt]
+            await self._engine.post(Ended(attempt, code))
+
+    def _write(self, link: CacheLink, a: Attempt) -> None:
+        ask = a.ask
+        order = caches.Order(
+            id=ask.id,
+            cls=self._classes[ask.cls],
+            key=ask.key,
+            part=ask.part,
+            wait_ms=a.timeout_ms,
+            idem=ask.idem,
+            source="" if a.source in ("", a.store) else a.source,
+            keep=a.keep,
+            age_ms=a.age_ms,
+            join=a.join,
+            renew=a.renew,
+            have=ask.have,
+            body=ask.body,
+        )
+        self._where[a] = link
+        link.out[ask.id] = a, trio.current_time()
+        link.begin()
+        a.written = True
+        link.connection.write(caches.get(order))
+
+    def drop(self, attempt: Attempt) -> None:
+        where = self._where.pop(attempt, None)
+        if isinstance(where, trio.CancelScope):
+            where.cancel()
+        elif where is not None:
+            if where.silent:
+                # The machine may have vanished; then this connection stays silent for good, also when
+                # the machine is back. A new one tells within the dial's time-out.
+                self._counters.add("links_retired")
+                self.pool.retire(where)
+            where.give_up(attempt)
--- /dev/null
+++ b/starlinghaven/program/changelog.py
@@ -0,0 +1,100 @@
+"""Follows the change log: connects, resumes after the last event, and tells the engine."""
+
+from __future__ import annotations
+
+import logging
+
+import trio
+
+from starlinghaven import interface as i
+from starlinghaven.protocol import ProtocolError, changelog
+from starlinghaven.routing.engine import Engine
+from starlinghaven.routing.types import Counters, Event, FleetNews, PurgeNews, Store
+from starlinghaven.transport.connection import Connection
+from starlinghaven.transport.listener import split_address
+from starlinghaven.transport.ring import Memory, Ring
+
+log = logging.getLogger(__name__)
+
+SILENCE_S = 3.0  # seconds without even an empty frame, which comes each second
+DIAL_S = 1.0
+PAUSE_S, PAUSE_MOST_S = 0.1, 1.0  # seconds between two tries, doubled up to the most
+PHASES = {
+    changelog.READY: i.Phase.UP,
+    changelog.DRAINING: i.Phase.DRAINING,
+    changelog.GONE: i.Phase.GONE,
+}
+
+
+def event(news: changelog.News, first: bool = False) -> Event:
+    """What the engine is told of an event of the log."""
+    if isinstance(news, changelog.Purged):
+        return PurgeNews(news.group, news.key, news.unix_ms)
+    kind = i.ListKind.COMPLETE if news.whole else i.ListKind.PARTIAL
+    stores = tuple(
+        Store(r.id, r.address, PHASES[r.state], r.zone, r.kind, r.cell, r.weight, r.started_unix_ms)
+        for r in news.records
+    )
+    return FleetNews(i.ListKind.PERSISTED if first else kind, stores)
+
+
+class ChangeLog:
+    """Keeps one connection to the change log. Nothing waits for it."""
+
+    def __init__(self, address: str, last: int, engine: Engine, memory: Memory, counters: Counters) -> None:
+        self._address, self.last = address, last
+        self._engine, self._memory, self._counters = engine, memory, counters
+        self._reader = changelog.FrameReader()
+
+    async def run(self) -> None:
+        pause = PAUSE_S
+        while True:
+            before = self.last
+            try:
+                heard = await self._follow()
+            except (OSError, ProtocolError) as error:
+                heard = False
+                log.warning("change log: %s", error)
+            pause = PAUSE_S if heard or self.last > before else min(2 * pause, PAUSE_MOST_S)
+            self._counters.add("changelog_lost")
+            log.info("change log lost after event %d, again in %.1f s", self.last, pause)
+            await trio.sleep(pause)
+
+    async def _follow(self) -> bool:
+        """One connection to its end; whether anything was heard on it."""
+        sock = trio.socket.socket()
+        with trio.move_on_after(DIAL_S) as dialing:
+            try:
+                await sock.connect(split_address(self._address))
+            except BaseException:
+                sock.close()
+                raise
+        if dialing.cancelled_caught:
+            raise OSError("no connection in time")
+        connection = Connection(sock, self._memory)
+        connection.write(changelog.resume(self.last))
+        self._reader = changelog.FrameReader()
+        started = connection.heard_at
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._watch, connection)
+            await connection.serve(self._feed)
+            nursery.cancel_scope.cancel()
+        return connection.heard_at > started
+
+    @staticmethod
+    async def _watch(connection: Connection) -> None:
+        """Guards against a log that has gone silent: its connection may never break."""
+        while trio.current_time() - connection.heard_at <= SILENCE_S:
+            await trio.sleep(SILENCE_S / 4)
+        connection.abort()
+
+    async def _feed(self, ring: Ring) -> int:
+        while (frame := self._reader.next(ring)) is not None:
+            number, news = frame
+            if news is None or number <= self.last:
+                continue
+            if number > self.last + 1 and not (isinstance(news, changelog.Fleet) and news.whole):
+                raise ProtocolError(f"event {number} follows {self.last}")
+            await self._engine.post(event(news))
+            self.last = number
+        return self._reader.wanted
--- /dev/null
+++ b/starlinghaven/program/config.py
@@ -0,0 +1,70 @@
+"""The configuration that the platform hands to the program."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from starlinghaven import interface as i
+from starlinghaven.benchlink import read_settings
+from starlinghaven.protocol import ProtocolError, changelog
+
+MIB = 1024 * 1024
+
+
+class ConfigError(Exception):
+    """The configuration can't be used; the text says why."""
+
+
+@dataclass(frozen=True, slots=True)
+class Config:
+    name: str
+    listen: str
+    seed: int
+    memory_bytes: int
+    sockets: int
+    log_address: str
+    last: int  # number of the last event known at the start
+    known: tuple[tuple[int, changelog.News], ...]
+    settings: i.Settings
+    classes: tuple[str, ...]
+    dial_s: float
+    streams: int
+    idle_s: float
+
+
+def load(env: Mapping[str, str]) -> Config:
+    """Reads the file that LB_CONFIG names; LB_NAME and LB_LISTEN go before what it says."""
+    if not (path := env.get("LB_CONFIG")):
+        raise ConfigError("LB_CONFIG names no file")
+    try:
+        raw = json.loads(Path(path).read_text())
+        return parse(raw, env)
+    except (OSError, ValueError) as error:
+        raise ConfigError(f"{path}: {error}") from error
+    except (KeyError, TypeError, AttributeError, ProtocolError) as error:
+        raise ConfigError(f"{path}: {type(error).__name__}: {error}") from error
+
+
+def parse(raw: dict[str, Any], env: Mapping[str, str]) -> Config:
+    settings, limits = raw["settings"], raw.get("limits", {})
+    known = raw.get("known") or {}
+    policy = settings.get("PolicyLimits", {})
+    return Config(
+        name=env.get("LB_NAME") or raw["name"],
+        listen=env.get("LB_LISTEN") or raw["listen"],
+        seed=int(str(raw.get("seed", "0")), 16),
+        memory_bytes=int(limits.get("memory_mb", 192) * MIB),
+        sockets=int(limits.get("sockets", 1024)),
+        log_address=raw.get("changelog", ""),
+        last=known.get("seq", 0),
+        known=tuple(changelog.read_known(known, settings["Zones"], settings["Kinds"])),
+        settings=read_settings(settings),
+        classes=tuple(c["Name"] for c in settings["Classes"]),
+        dial_s=policy.get("DialTimeoutMs", 400.0) / 1000,
+        streams=policy.get("StreamsPerConn", 100),
+        idle_s=policy.get("IdleCloseMs", 15_000.0) / 1000,
+    )
--- /dev/null
+++ b/starlinghaven/protocol/changelog.py
@@ -0,0 +1,133 @@
+"""The change log: numbered events as frames, and the same events in the configuration's JSON."""
+
+from __future__ import annotations
+
+import struct
+from collections.abc import Sequence
+from dataclasses import dataclass
+from ipaddress import IPv4Address
+from typing import Any
+
+from starlinghaven.protocol import ProtocolError
+from starlinghaven.transport.ring import Ring
+
+MOST_FRAME = 256 * 1024
+_LENGTH, _HEAD, _RECORD = struct.Struct(">I"), struct.Struct(">QB"), struct.Struct(">I4sHBBBHIQ")
+_OBJECT, _GROUP = struct.Struct(">8sQ"), struct.Struct(">HQ")
+READY, DRAINING, GONE = 0, 1, 2
+STATES = {"active": READY, "leaving": DRAINING, "left": GONE}
+
+
+@dataclass(frozen=True, slots=True)
+class Record:
+    """One store as the log lists it. Zone and kind are places in the settings' lists."""
+
+    id: str
+    address: str
+    state: int
+    zone: int
+    kind: int
+    cell: int
+    weight: float
+    started_unix_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class Fleet:
+    """The whole list, or changes to it."""
+
+    whole: bool
+    records: tuple[Record, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Purged:
+    """An object, or with no key a whole group."""
+
+    key: str | None
+    group: int
+    unix_ms: int
+
+
+News = Fleet | Purged
+
+
+class FrameReader:
+    """Reads frames from a ring. An empty frame comes out as no news under its number."""
+
+    def __init__(self) -> None:
+        self.wanted = _LENGTH.size
+        self._length: int | None = None
+
+    def next(self, ring: Ring) -> tuple[int, News | None] | None:
+        if self._length is None:
+            if ring.size < _LENGTH.size:
+                return None
+            (self._length,) = _LENGTH.unpack(ring.take(_LENGTH.size))
+            if not _HEAD.size <= self._length <= MOST_FRAME:
+                raise ProtocolError(f"a frame of {self._length} bytes")
+        if ring.size < self._length:
+            self.wanted = self._length
+            return None
+        frame, self._length, self.wanted = ring.take(self._length), None, _LENGTH.size
+        number, kind = _HEAD.unpack_from(frame)
+        return number, _news(kind, frame[_HEAD.size :])
+
+
+def _news(kind: int, payload: bytes) -> News | None:
+    try:
+        if kind in (1, 2):
+            return Fleet(kind == 1, tuple(_record(raw) for raw in _RECORD.iter_unpack(payload)))
+        if kind == 3:
+            key, at = _OBJECT.unpack(payload)
+            return Purged(key.hex(), 0, at)
+        if kind == 4:
+            group, at = _GROUP.unpack(payload)
+            return Purged(None, group, at)
+    except struct.error as error:
+        raise ProtocolError(f"kind {kind}: {error}") from error
+    return None  # nothing new, or a kind of later days
+
+
+def _record(raw: tuple[Any, ...]) -> Record:
+    number, address, port, state, zone, kind, cell, weight, started = raw
+    if state not in (READY, DRAINING, GONE):
+        raise ProtocolError(f"state {state}")
+    return Record(
+        f"s-{number:08x}", f"{IPv4Address(address)}:{port}", state, zone, kind, cell, weight / 1000, started
+    )
+
+
+def read_known(raw: dict[str, Any], zones: Sequence[str], kinds: Sequence[str]) -> list[tuple[int, News]]:
+    """The events of a start; the first one carries the whole list."""
+    events: list[tuple[int, News]] = []
+    try:
+        for entry in raw.get("results", ()):
+            if fleet := entry.get("fleet"):
+                first = not any(isinstance(news, Fleet) for _, news in events)
+                records = tuple(_listed(e, zones, kinds) for e in fleet["instances"])
+                events.append((entry["seq"], Fleet(first or bool(fleet.get("reset")), records)))
+            elif purge := entry.get("invalidate"):
+                news = Purged(purge.get("object"), purge.get("bucket", 0), purge["time"])
+                events.append((entry["seq"], news))
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        raise ProtocolError(f"known: {type(error).__name__}: {error}") from error
+    return events
+
+
+def _listed(e: dict[str, Any], zones: Sequence[str], kinds: Sequence[str]) -> Record:
+    return Record(
+        id=e["instanceId"],
+        address=e["hostPort"],
+        state=STATES[e["lifecycle"]],
+        zone=zones.index(e["zone"]),
+        kind=kinds.index(e["machineType"]),
+        cell=e.get("cell", 0),
+        weight=e.get("weight", 1.0),
+        started_unix_ms=e.get("startedAtMs") or 0,
+    )
+
+
+def resume(last: int) -> bytes:
+    """What the reader of the log says first: the number of the last event that it has."""
+    return last.to_bytes(8, "big")
--- /dev/null
+++ b/starlinghaven/routing/engine.py
@@ -0,0 +1,315 @@
+"""The engine: owns the Router, the timers and every request that is owed an answer."""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import logging
+import math
+from dataclasses import dataclass, field
+
+import trio
+
+from starlinghaven import interface as i
+from starlinghaven.router import Router
+from starlinghaven.routing.clock import Clock
+from starlinghaven.routing.types import (
+    Answer,
+    Ask,
+    Attempt,
+    CacheSide,
+    Counters,
+    Ended,
+    Event,
+    FleetNews,
+    Left,
+    PurgeNews,
+    Result,
+    Store,
+    Taken,
+    Ticket,
+)
+
+log = logging.getLogger(__name__)
+
+QUEUE = 1024  # events that may wait; socket code waits when it is full
+BATCH = 256  # events handled before timers are looked at again
+MARGIN_MS = 25.0  # ms before the client's deadline at which its request ends here: the answer must travel
+GUARD_MS = 5.0  # ms after that, at which one that the Router still holds is failed
+MOST_OPEN = 2048  # requests held at once; beyond it they are refused unseen
+NOTES = {note.value: note for note in i.Note}
+
+
+@dataclass(eq=False, slots=True)
+class _Open:
+    """A request that is owed its final answer."""
+
+    ask: Ask
+    ticket: Ticket
+    deadline: float
+    attempts: int = 0
+    last: i.Code | None = None  # how its last attempt ended
+
+
+@dataclass(order=True, slots=True)
+class _Due:
+    when: float
+    order: int
+    what: object = field(compare=False)  # an Attempt's time-out, a request's deadline, a Router's token
+
+
+class Engine:
+    """Feed it through `post`; it answers tickets and gives attempts to the cache side."""
+
+    def __init__(self, settings: i.Settings, seed: int, clock: Clock, counters: Counters) -> None:
+        self.clock, self.counters, self._settings = clock, counters, settings
+        self._router = Router(settings, seed, clock.now())
+        self._send, self._receive = trio.open_memory_channel[Event](QUEUE)
+        self._caches: CacheSide | None = None
+        self._open: dict[int, _Open] = {}
+        self._numbers: dict[Ticket, int] = {}
+        self._attempts: dict[tuple[int, int], Attempt] = {}
+        self._stores: dict[str, Store] = {}
+        self._due: list[_Due] = []
+        self._order = itertools.count()
+        self._next = itertools.count(1)
+        self._quiet = trio.Event()
+        self.draining = False
+
+    # -- for other tasks --------------------------------------------------------------------------
+
+    async def post(self, event: Event) -> None:
+        """The only way in. Waits while the queue is full."""
+        await self._send.send(event)
+
+    @property
+    def open_requests(self) -> int:
+        return len(self._open)
+
+    @property
+    def fleet_size(self) -> int:
+        """Caches of the own zone that are up."""
+        return len(self._router.caches)
+
+    async def quiet(self) -> None:
+        """Waits until nothing that was taken is left unanswered."""
+        while self._open or self._receive.statistics().current_buffer_used:
+            self._quiet = trio.Event()
+            with trio.move_on_after(0.05):  # also looks at what is only in the queue
+                await self._quiet.wait()
+
+    # -- the one task -----------------------------------------------------------------------------
+
+    async def run(self, caches: CacheSide) -> None:
+        self._caches = caches
+        while True:
+            with trio.move_on_after(self._sleep_s()):
+                self._handle(await self._receive.receive())
+                for _ in range(BATCH):
+                    try:
+                        self._handle(self._receive.receive_nowait())
+                    except trio.WouldBlock:
+                        break
+            self._run_due()
+
+    def _sleep_s(self) -> float:
+        return max(self._due[0].when - self.clock.now(), 0.0) / 1000 if self._due else math.inf
+
+    def _handle(self, event: Event) -> None:
+        match event:
+            case Taken():
+                self._take(event)
+            case Ended():
+                self._attempt_ended(event)
+            case Left():
+                self._left(event.ticket)
+            case FleetNews():
+                self._listed(event)
+            case PurgeNews():
+                self.counters.add("purges")
+                self._decide(i.Purge(event.group, self.clock.age(event.unix_ms), event.key))
+
+    def _at(self, when: float, what: object) -> None:
+        heapq.heappush(self._due, _Due(when, next(self._order), what))
+
+    def _run_due(self) -> None:
+        now = self.clock.now()
+        while self._due and self._due[0].when <= now:
+            what = heapq.heappop(self._due).what
+            if isinstance(what, Attempt):
+                self._time_out(what)
+            elif isinstance(what, _Open):
+                self._out_of_time(what)
+            elif isinstance(what, int):
+                self._decide(i.Timer(what))
+
+    # -- requests ---------------------------------------------------------------------------------
+
+    def _take(self, event: Taken) -> None:
+        ask = event.ask
+        self.counters.add("taken")
+        if len(self._open) >= MOST_OPEN:  # guards memory; the Router refuses long before
+            wait = self._settings.most_wait_ms if self._settings.advises_wait else 0.0
+            self._tell(event.ticket, Answer(Result.REFUSED, wait_ms=wait))
+            return
+        number = next(self._next)
+        deadline = ask.taken_ms + max(ask.patience_ms - MARGIN_MS, ask.patience_ms / 2)
+        request = _Open(ask, event.ticket, deadline)
+        self._open[number] = request
+        self._numbers[event.ticket] = number
+        self._at(deadline + GUARD_MS, request)
+        patience = max(deadline - self.clock.now(), 0.0)
+        part = ask.part or 0
+        self._decide(
+            i.Request(number, ask.cls, patience, ask.key, ask.group, part, ask.size_kb, ask.again)
+        )
+
+    def _left(self, ticket: Ticket) -> None:
+        number = self._numbers.get(ticket)
+        if number is not None:  # else its answer crossed the client's leaving
+            self._close(number)
+            self.counters.add("left")
+            self._decide(i.Gone(number))
+
+    def _out_of_time(self, request: _Open) -> None:
+        """The last guard of the deadline: the Router has ended its requests before, as a rule."""
+        number = self._numbers.get(request.ticket)
+        if number is not None and self._open.get(number) is request:
+            self.counters.add("overdue")
+            self._finish(number, Answer(Result.FAILED, late=True))
+            self._decide(i.Gone(number))
+
+    def _close(self, number: int) -> _Open:
+        """The one place where a request leaves the engine."""
+        request = self._open.pop(number)
+        del self._numbers[request.ticket]
+        if not self._open:
+            self._quiet.set()
+        return request
+
+    def _finish(self, number: int, answer: Answer) -> None:
+        self._tell(self._close(number).ticket, answer)
+
+    def _tell(self, ticket: Ticket, answer: Answer) -> None:
+        self.counters.add(f"answered_{answer.result.name.lower()}")
+        ticket.answer(answer)
+
+    # -- attempts ---------------------------------------------------------------------------------
+
+    def _attempt_ended(self, e: Ended) -> None:
+        a = e.attempt
+        if self._attempts.get((a.request, a.number)) is not a:
+            return  # dropped before; its answer came too late to count
+        self._settle(a, e)
+
+    def _settle(self, a: Attempt, e: Ended) -> None:
+        """The one place where an attempt that was out is given back."""
+        del self._attempts[a.request, a.number]
+        self.counters.add(f"ended_{e.code.name.lower()}")
+        request = self._open.get(a.request)
+        if request is not None:
+            request.last = e.code
+            if e.code is i.Code.OK:
+                result = Result.UNCHANGED if e.unchanged else Result.SERVED
+                self._finish(a.request, Answer(result, e.body, tag=e.tag))
+        self._decide(
+            i.Outcome(
+                request=a.request,
+                attempt=a.number,
+                store=a.store,
+                code=e.code,
+                took_ms=self.clock.now() - a.sent_ms,
+                final=a.request not in self._open,
+                note=NOTES.get(e.note, i.Note.NONE),
+                waited_ms=e.waited_ms,
+                report=e.report,
+            )
+        )
+
+    def _time_out(self, a: Attempt) -> None:
+        if self._attempts.get((a.request, a.number)) is a:
+            self._give_up(a, i.Code.TIMEOUT)
+
+    def _give_up(self, a: Attempt, code: i.Code) -> None:
+        """Drops an attempt before anything follows it. What never went out surely never ran."""
+        assert self._caches is not None
+        self._caches.drop(a)
+        self._settle(a, Ended(a, code if a.written else i.Code.NO_CONNECTION))
+
+    def _start(self, order: i.Send | i.Get) -> None:
+        assert self._caches is not None
+        request = self._open.get(order.request)
+        if request is None:
+            return
+        now = self.clock.now()
+        left = request.deadline - now
+        store = self._stores.get(order.store)
+        attempt = Attempt(
+            ask=request.ask,
+            request=order.request,
+            number=request.attempts,
+            store=order.store,
+            address=store.address if store else "",
+            timeout_ms=max(min(order.timeout_ms or left, left), 0.0),
+            sent_ms=now,
+        )
+        if isinstance(order, i.Get):
+            attempt.source, attempt.keep, attempt.age_ms = order.source, order.keep, order.age_ms
+            attempt.join, attempt.renew = order.join, order.renew
+        request.attempts += 1
+        self._attempts[order.request, attempt.number] = attempt
+        self.counters.add("sent")
+        if store is None or attempt.number >= self._settings.most_attempts:
+            self._settle(attempt, Ended(attempt, i.Code.MOOT))
+            return
+        self._at(now + attempt.timeout_ms, attempt)
+        self._caches.send(attempt)
+
+    # -- the Router -------------------------------------------------------------------------------
+
+    def _decide(self, event: i.Event) -> None:
+        try:
+            actions = self._router.handle(event, self.clock.now())
+        except Exception:  # one request's trouble must not end the others
+            log.exception("the router failed on %s", type(event).__name__)
+            self.counters.add("router_errors")
+            if isinstance(event, i.Request) and event.id in self._open:
+                self._finish(event.id, Answer(Result.FAILED))
+            return
+        for action in actions:
+            match action:
+                case i.Send() | i.Get():
+                    self._start(action)
+                case i.Refuse() | i.Fail():
+                    self._end(action)
+                case i.Cancel():
+                    if a := self._attempts.get((action.request, action.attempt)):
+                        self._give_up(a, i.Code.CANCELLED)
+                case i.SetTimer():
+                    self._at(self.clock.now() + action.delay_ms, action.token)
+
+    def _end(self, action: i.Refuse | i.Fail) -> None:
+        request = self._open.get(action.request)
+        if request is None:
+            return
+        late = request.last is i.Code.TIMEOUT and self.clock.now() >= request.deadline - MARGIN_MS
+        lacking = request.last is i.Code.MISS
+        if isinstance(action, i.Refuse):
+            answer = Answer(Result.REFUSED, wait_ms=action.wait_ms, late=late, lacking=lacking)
+        else:
+            answer = Answer(Result.FAILED, late=late, lacking=lacking)
+        self._finish(action.request, answer)
+
+    def _listed(self, news: FleetNews) -> None:
+        if news.kind is not i.ListKind.PARTIAL:
+            self._stores.clear()
+        members = []
+        for s in news.stores:
+            if s.phase is i.Phase.GONE:
+                self._stores.pop(s.id, None)
+            else:
+                self._stores[s.id] = s
+            started = self.clock.from_unix(s.started_unix_ms)
+            members.append(i.Member(s.id, s.zone, s.kind, s.cell, s.phase, s.weight, started))
+        self.counters.add("lists")
+        self._decide(i.Members(news.kind, tuple(members)))
--- /dev/null
+++ b/starlinghaven/routing/types.py
@@ -0,0 +1,158 @@
+"""What passes between the engine, its fronts and its cache side. No wire is named here."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from enum import Enum, auto
+from typing import Protocol
+
+from starlinghaven import interface as i
+
+
+class Result(Enum):
+    """How a request ended."""
+
+    SERVED = auto()
+    UNCHANGED = auto()  # served: the copy that the client holds is the one
+    REFUSED = auto()  # not done; trying again is harmless
+    FAILED = auto()
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """The final answer. `late` and `lacking` tell why nothing was served, for fronts that can say so."""
+
+    result: Result
+    body: bytes = b""
+    wait_ms: float = 0.0
+    late: bool = False  # the time ran out
+    lacking: bool = False  # the last store asked does not have the object and can't get it
+    tag: str = ""  # of the copy that was served
+
+
+class Ticket(Protocol):
+    """A front's hold on one request. The engine calls `answer` exactly once, unless the client leaves."""
+
+    def answer(self, answer: Answer) -> None: ...
+
+
+@dataclass(frozen=True, slots=True)
+class Ask:
+    """A request as a front has taken it. Times are on the module's clock."""
+
+    id: str
+    cls: int
+    taken_ms: float
+    patience_ms: float
+    key: str = ""
+    part: int | None = None
+    group: int = 0
+    size_kb: float = 0.0
+    idem: str = ""
+    have: str = ""
+    again: bool = False
+    body: bytes = b""
+
+
+@dataclass(eq=False, slots=True)
+class Attempt:
+    """One request to one store, as the Router ordered it. Compared by identity."""
+
+    ask: Ask
+    request: int
+    number: int
+    store: str
+    address: str
+    timeout_ms: float
+    sent_ms: float
+    source: str = ""
+    keep: int = 0
+    age_ms: float = 0.0
+    join: bool = False
+    renew: bool = False
+    written: bool = False  # it has gone out, in whole or in part, and may run
+
+
+@dataclass(frozen=True, slots=True)
+class Ended:
+    """How an attempt ended, as the cache side saw it."""
+
+    attempt: Attempt
+    code: i.Code
+    body: bytes = b""
+    unchanged: bool = False
+    tag: str = ""
+    note: int = 0
+    waited_ms: float = 0.0
+    report: Mapping[str, float] = field(default_factory=dict)
+
+
+class CacheSide(Protocol):
+    """Carries attempts out. Neither call waits; ends come back as `Ended` through the queue."""
+
+    def send(self, attempt: Attempt) -> None: ...
+
+    def drop(self, attempt: Attempt) -> None:
+        """Gives an attempt up; nothing is said of it any more."""
+
+
+@dataclass(frozen=True, slots=True)
+class Store:
+    """One store of the fleet. The start is a Unix time; 0 is long ago."""
+
+    id: str
+    address: str
+    phase: i.Phase
+    zone: int
+    kind: int
+    cell: int
+    weight: float
+    started_unix_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class Taken:
+    """A front has taken a request."""
+
+    ask: Ask
+    ticket: Ticket
+
+
+@dataclass(frozen=True, slots=True)
+class Left:
+    """The client has left; nothing is owed any more."""
+
+    ticket: Ticket
+
+
+@dataclass(frozen=True, slots=True)
+class FleetNews:
+    kind: i.ListKind
+    stores: tuple[Store, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class PurgeNews:
+    group: int
+    key: str | None
+    unix_ms: float
+
+
+Event = Taken | Left | Ended | FleetNews | PurgeNews
+
+
+class Counters:
+    """Plain counts by name. One object for the whole program."""
+
+    def __init__(self) -> None:
+        self._counts: dict[str, int] = {}
+
+    def add(self, name: str, n: int = 1) -> None:
+        self._counts[name] = self._counts.get(name, 0) + n
+
+    def __getitem__(self, name: str) -> int:
+        return self._counts.get(name, 0)
+
+    def line(self) -> str:
+        return " ".join(f"{name}={n}" for name, n in sorted(self._counts.items()))
--- /dev/null
+++ b/starlinghaven/transport/connection.py
@@ -0,0 +1,122 @@
+"""One TCP connection: a ring each way, a reading and a writing task, one place that closes it all."""
+
+from __future__ import annotations
+
+import contextlib
+import socket
+from collections.abc import Awaitable, Callable
+
+import trio
+
+from starlinghaven.transport.ring import Memory, NoMemory, Ring
+
+STALL_S = 10.0  # seconds in which a peer must read something of what waits for it
+STARVED_S = 2.0  # seconds that a half-read message may wait for memory
+HIGH_WATER = 512 * 1024  # bytes unsent from which nothing more is read from the same peer
+MOST_UNSENT = 8 * 1024 * 1024  # bytes unsent at most: all open requests of a connection with full answers
+
+Feed = Callable[[Ring], Awaitable[int]]
+"""Takes what it can use from the ring; returns how many bytes the ring must hold before it can go on."""
+
+
+class Connection:
+    """Owns a socket and its two rings. `serve` opens and closes them; others only write or abort."""
+
+    def __init__(self, sock: trio.socket.SocketType, memory: Memory) -> None:
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self._sock, self._memory = sock, memory
+        self._in = Ring(memory)
+        try:
+            self._out = Ring(memory)
+        except NoMemory:
+            self._in.close()
+            raise
+        self._scope = trio.CancelScope()
+        self._work = trio.Event()  # there is something to write, or to stop for
+        self._room = trio.Event()  # the peer has read
+        self._ending = False
+        self.closed = False
+        self.heard_at = trio.current_time()  # when the last bytes came in
+
+    @property
+    def unsent(self) -> int:
+        return self._out.size
+
+    def write(self, data: bytes) -> None:
+        """Queues bytes in order; a peer that leaves far too much unread is cut off."""
+        if self.closed or self._ending:
+            return
+        try:
+            if self._out.size + len(data) > MOST_UNSENT:
+                raise NoMemory("the peer does not read")
+            self._out.put(data)
+        except NoMemory:
+            self.abort()
+            return
+        self._work.set()
+
+    def finish(self) -> None:
+        """Closes once all that is queued has been written."""
+        self._ending = True
+        self._work.set()
+
+    def abort(self) -> None:
+        self._scope.cancel()
+
+    async def serve(self, feed: Feed) -> None:
+        """Reads and writes until either side ends; gives socket and rings back."""
+        try:
+            with self._scope, contextlib.suppress(OSError):
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(self._write_out)
+                    await self._read_in(feed)
+                    nursery.cancel_scope.cancel()
+        except* OSError:
+            pass  # the peer broke off: the same as an end
+        finally:
+            self.closed = True
+            self._sock.close()
+            self._in.close()
+            self._out.close()
+
+    async def _read_in(self, feed: Feed) -> None:
+        while True:
+            while self._out.size > HIGH_WATER:
+                self._room = trio.Event()
+                await self._room.wait()
+            got = await self._sock.recv_into(self._in.space())
+            if not got:
+                return
+            self.heard_at = trio.current_time()
+            self._in.filled(got)
+            wanted = await feed(self._in)
+            if not await self._grow(max(wanted, self._in.size + 1)):
+                return
+
+    async def _grow(self, n: int) -> bool:
+        with trio.move_on_after(STARVED_S):
+            while True:
+                try:
+                    self._in.reserve(n)
+                    return True
+                except NoMemory:
+                    await self._memory.freed()
+        return False
+
+    async def _write_out(self) -> None:
+        while True:
+            if not self._out.size:
+                if self._ending:
+                    self._scope.cancel()
+                    return
+                self._work = trio.Event()
+                await self._work.wait()
+                continue
+            with trio.move_on_after(STALL_S) as stalled:
+                self._out.skip(await self._sock.send(self._out.head()))
+            if stalled.cancelled_caught:
+                self._scope.cancel()
+                return
+            self._room.set()
+
+
--- /dev/null
+++ b/starlinghaven/transport/listener.py
@@ -0,0 +1,76 @@
+"""The listener: accepts connections up to a number, and makes room by closing idle ones."""
+
+from __future__ import annotations
+
+import errno
+import logging
+import socket
+from collections.abc import Awaitable, Callable
+
+import trio
+
+from starlinghaven.transport.connection import Connection
+from starlinghaven.transport.ring import Memory, NoMemory
+
+log = logging.getLogger(__name__)
+
+BACKLOG = 512
+PAUSE_S = 0.05  # seconds without accepting after descriptors or memory ran out
+
+Serve = Callable[[Connection], Awaitable[None]]
+"""Serves one connection to its end."""
+
+
+def split_address(text: str) -> tuple[str, int]:
+    """Host and port of HOST:PORT."""
+    host, _, port = text.rpartition(":")
+    if not host or not port.isdecimal() or not int(port) < 65_536:
+        raise ValueError(f"not an address: {text!r}")
+    return host, int(port)
+
+
+class Listener:
+    """Owns the listening socket and counts the connections that came through it."""
+
+    def __init__(self, address: str, memory: Memory, most: int) -> None:
+        self._address, self._memory, self._most = split_address(address), memory, most
+        self.count = 0
+        self.port = 0
+
+    async def open(self) -> None:
+        self._sock = trio.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        await self._sock.bind(self._address)
+        self._sock.listen(BACKLOG)
+        self.port = self._sock.getsockname()[1]
+
+    async def run(self, serve: Serve, make_room: Callable[[], bool]) -> None:
+        """Accepts until cancelled. `make_room` closes an idle connection; at the limit none comes in."""
+        try:
+            async with trio.open_nursery() as nursery:
+                while True:
+                    if self.count >= self._most and not make_room():
+                        await trio.sleep(PAUSE_S)
+                        continue
+                    try:
+                        sock, _ = await self._sock.accept()
+                    except OSError as error:
+                        if error.errno not in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM,
+                                               errno.ECONNABORTED):
+                            raise
+                        log.warning("accept failed: %s", error)
+                        await trio.sleep(PAUSE_S)
+                        continue
+                    self.count += 1
+                    nursery.start_soon(self._one, sock, serve)
+        finally:
+            self._sock.close()
+
+    async def _one(self, sock: trio.socket.SocketType, serve: Serve) -> None:
+        try:
+            await serve(Connection(sock, self._memory))
+        except NoMemory:
+            sock.close()
+            log.warning("connection turned away: no memory for its rings")
+        finally:
+            self.count -= 1
