Add the second front: signed URLs and tokens over HTTP, with balancers' checks

Tokens after RFC 9246, checked once when the request is taken; keys by kid, reread on SIGHUP, a broken file keeps the old ones. The agent-check and the HTTP health check tell the engine's state.

Seen while testing: a long request line was not refused, h11 counts only what is incomplete and rings hand it 4 KB at a time (program/http.py); its limit is 8 KB now. A purse spent by earlier failures makes the Router refuse at once, which is 503, not 504: the tests use a new program for each case.

--- /dev/null
+++ b/starlinghaven/program/core.py
@@ -0,0 +1,47 @@
+"""The engine with its cache side and change log: what the daemon and the plug-in share."""
+
+from __future__ import annotations
+
+import trio
+
+from starlinghaven.program import changelog, config
+from starlinghaven.program.caches import Caches
+from starlinghaven.routing.clock import Clock
+from starlinghaven.routing.engine import Engine
+from starlinghaven.routing.types import Counters
+from starlinghaven.transport.ring import Memory
+
+RINGS = 0.35  # part of the memory limit that rings may hold; the rest is the interpreter's and answers'
+RESERVE = 64  # descriptors for files, the change log, balancers' checks and what the system wants
+
+
+class Core:
+    """Everything but the fronts. Made inside trio's loop."""
+
+    def __init__(self, cfg: config.Config, front_sockets: int) -> None:
+        self.cfg = cfg
+        self.counters = Counters()
+        self.memory = Memory(int(cfg.memory_bytes * RINGS))
+        self.engine = Engine(cfg.settings, cfg.seed, Clock(), self.counters)
+        self.caches = Caches(
+            self.engine,
+            cfg.classes,
+            self.memory,
+            self.counters,
+            dial_s=cfg.dial_s,
+            streams=cfg.streams,
+            idle_s=cfg.idle_s,
+            most=max(cfg.sockets - RESERVE - front_sockets, 1),
+        )
+        self.log = changelog.ChangeLog(
+            cfg.log_address, cfg.last, self.engine, self.memory, self.counters
+        )
+
+    async def start(self, nursery: trio.Nursery) -> None:
+        """Starts the tasks. The fleet known at the start is in the queue when this returns."""
+        nursery.start_soon(self.caches.run)
+        nursery.start_soon(self.engine.run, self.caches)
+        for n, (_, news) in enumerate(self.cfg.known):
+            await self.engine.post(changelog.event(news, first=n == 0))
+        if self.cfg.log_address:
+            nursery.start_soon(self.log.run)
--- a/starlinghaven/program/daemon.py
+++ b/starlinghaven/program/daemon.py
@@ -5,86 +5,98 @@
 import gc
 import logging
 import os
+import secrets
 import signal
 import sys
 
 import trio
 
-from starlinghaven.program import changelog, config
-from starlinghaven.program.caches import Caches
+from starlinghaven.program import checks, config, operator
+from starlinghaven.program.core import RESERVE, Core
+from starlinghaven.program.http import Exchange, Handle, HttpServer
 from starlinghaven.program.platform import PlatformFront
-from starlinghaven.protocol import platform
-from starlinghaven.routing.clock import Clock
-from starlinghaven.routing.engine import Engine
-from starlinghaven.routing.types import Counters
+from starlinghaven.program.signed import SignedFront
+from starlinghaven.protocol import platform, uri_signing
 from starlinghaven.transport.listener import Listener
-from starlinghaven.transport.ring import Memory
 
 log = logging.getLogger("starlinghaven")
 
-RINGS = 0.35  # part of the memory limit that rings may hold; the rest is the interpreter's and answers'
-RESERVE = 64  # descriptors for files, the change log, the operator's ports and what the system wants
 WINDOW_S = 0.75  # seconds after SIGTERM in which new requests still come: 0.7 s, and some slack
 FLUSH_S = 1.0  # seconds that the last answers may take to leave
+CHECKS = 16  # connections of balancers' checks at once
+STATES = {"ready": platform.READY, "draining": platform.DRAIN, "stopped": platform.UNREADY}
 
 
 class Daemon:
     """One edge proxy."""
 
-    def __init__(self, cfg: config.Config) -> None:
-        self.cfg = cfg
-        self.counters = Counters()
-        self.ready = False
-        memory = Memory(int(cfg.memory_bytes * RINGS))
+    def __init__(self, cfg: config.Config, options: operator.Operator) -> None:
         clients = (cfg.sockets - RESERVE) * 2 // 5  # they hold a third of all at most
-        self.engine = Engine(cfg.settings, cfg.seed, Clock(), self.counters)
-        self.caches = Caches(
-            self.engine,
-            cfg.classes,
-            memory,
-            self.counters,
-            dial_s=cfg.dial_s,
-            streams=cfg.streams,
-            idle_s=cfg.idle_s,
-            most=cfg.sockets - RESERVE - clients,
-        )
-        self.listener = Listener(cfg.listen, memory, clients)
+        extra = options.signed.connections if options.signed else 0
+        core = self.core = Core(cfg, clients + extra)
+        self.engine, self.counters = core.engine, core.counters
+        self._listeners = [Listener(cfg.listen, core.memory, clients)]
         self.front = PlatformFront(
-            self.engine, cfg.settings, cfg.classes, self.state, self.listener, self.counters
+            core.engine, cfg.settings, cfg.classes, self.state, self._listeners[0], core.counters
         )
-        self.log = changelog.ChangeLog(cfg.log_address, cfg.last, self.engine, memory, self.counters)
+        self.signed: SignedFront | None = None
+        self.servers: list[HttpServer] = []
+        self.agent: checks.AgentCheck | None = None
+        if options.signed:
+            self.signed = SignedFront(
+                options.signed, core.engine, cfg.settings, cfg.classes, core.counters, _new_id
+            )
+            self._serve_http(options.signed.listen, options.signed.connections, self.signed.handle)
+        if options.health:
+            self._serve_http(options.health, CHECKS, self._health)
+        if options.agent:
+            self._listeners.append(Listener(options.agent, core.memory, CHECKS))
+            self.agent = checks.AgentCheck(self._listeners[-1], core.engine)
+
+    def _serve_http(self, listen: str, most: int, handle: Handle) -> None:
+        self._listeners.append(Listener(listen, self.core.memory, most))
+        self.servers.append(HttpServer(self._listeners[-1], handle, self.counters))
+
+    async def _health(self, exchange: Exchange) -> None:
+        await checks.health(self.engine, exchange)
 
     def state(self) -> bytes:
-        if self.engine.draining:
-            return platform.DRAIN
-        return platform.READY if self.ready else platform.UNREADY
+        return STATES[self.engine.state]
 
     async def run(self) -> None:
         """Serves until SIGTERM, and then until nothing that was taken is unanswered."""
-        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGUSR1) as signals:
+        cfg = self.core.cfg
+        numbers = (signal.SIGTERM, signal.SIGINT, signal.SIGUSR1, signal.SIGHUP)
+        with trio.open_signal_receiver(*numbers) as signals:
             async with trio.open_nursery() as nursery:
-                nursery.start_soon(self.caches.run)
-                nursery.start_soon(self.engine.run, self.caches)
-                for n, (_, news) in enumerate(self.cfg.known):
-                    await self.engine.post(changelog.event(news, first=n == 0))
-                await self.listener.open()
+                await self.core.start(nursery)
+                for listener in self._listeners:
+                    await listener.open()
                 nursery.start_soon(self.front.run)
-                if self.cfg.log_address:
-                    nursery.start_soon(self.log.run)
-                self.ready = True
+                for server in self.servers:
+                    nursery.start_soon(server.run)
+                if self.agent:
+                    nursery.start_soon(self.agent.run)
+                self.engine.ready = True
                 gc.collect()
                 gc.freeze()  # what lives as long as the program is not looked at again
-                log.info("ready name=%s listen=%s events=%d", self.cfg.name, self.cfg.listen, self.cfg.last)
+                log.info("ready name=%s listen=%s events=%d", cfg.name, cfg.listen, cfg.last)
                 async for number in signals:
                     if number == signal.SIGUSR1:
                         log.info("counters %s", self.counters.line())
-                        continue
-                    break
+                    elif number == signal.SIGHUP:
+                        self._reload()
+                    else:
+                        break
                 await self._drain()
                 nursery.cancel_scope.cancel()
         log.info("counters %s", self.counters.line())
         log.info("stopped")
 
+    def _reload(self) -> None:
+        if self.signed:
+            self.counters.add("keys_reloaded" if self.signed.gate.reload() else "keys_kept")
+
     async def _drain(self) -> None:
         """New requests go on coming for a while after SIGTERM: they are taken and answered too."""
         log.info("draining open=%d", self.engine.open_requests)
@@ -92,12 +104,17 @@
         await trio.sleep(WINDOW_S)
         await self.engine.quiet()
         with trio.move_on_after(FLUSH_S):
-            while self.front.unsent:
+            while self.front.unsent or any(server.unsent for server in self.servers):
                 await trio.sleep(0.005)
+        self.engine.ready = False
+
+
+def _new_id() -> str:
+    return secrets.token_hex(8)
 
 
-async def serve(cfg: config.Config) -> None:
-    await Daemon(cfg).run()
+async def serve(cfg: config.Config, options: operator.Operator) -> None:
+    await Daemon(cfg, options).run()
 
 
 def main() -> int:
@@ -106,8 +123,10 @@
     )
     gc.set_threshold(20_000, 20, 50)
     try:
-        trio.run(serve, config.load(os.environ))
-    except (config.ConfigError, ValueError) as error:
+        path = os.environ.get(operator.VARIABLE)
+        options = operator.load(path) if path else operator.Operator()
+        trio.run(serve, config.load(os.environ), options)
+    except (config.ConfigError, uri_signing.BadKeys, ValueError, OSError) as error:
         print(f"starlinghaven: {error}", file=sys.stderr)
         return 2
     return 0
--- /dev/null
+++ b/starlinghaven/program/http.py
@@ -0,0 +1,197 @@
+"""HTTP/1.1 over a Connection, by h11: one request at a time, bounded, answered once."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from http import HTTPStatus
+
+import h11
+import trio
+
+from starlinghaven.routing.types import Counters
+from starlinghaven.transport.connection import Connection
+from starlinghaven.transport.listener import Listener
+from starlinghaven.transport.ring import Ring
+
+log = logging.getLogger(__name__)
+
+MOST_HEAD = 8 * 1024  # bytes of a request line with its fields
+MOST_BODY = 64 * 1024  # bytes of a request's body
+MOST_AHEAD = 64 * 1024  # bytes that a client may send ahead while its request is at work
+IDLE_S = 15.0  # seconds that a client may take for a whole request, or stay idle
+
+
+@dataclass(frozen=True, slots=True)
+class HttpRequest:
+    method: str
+    target: str
+    headers: dict[str, str]  # names in lower case; of repeated ones the last
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class HttpResponse:
+    status: int
+    body: bytes = b""
+    headers: list[tuple[str, str]] = field(default_factory=list)
+
+
+class Exchange:
+    """One request and its one response. Compared by identity, so that it can be a ticket."""
+
+    def __init__(self, peer: Peer, request: HttpRequest) -> None:
+        self.request, self._peer = request, peer
+        self.left: Callable[[], Awaitable[None]] | None = None  # what to do when the client leaves
+
+    def respond(self, response: HttpResponse) -> None:
+        self._peer.respond(self, response)
+
+
+Handle = Callable[[Exchange], Awaitable[None]]
+"""Takes a request. It responds to the exchange now or later."""
+
+
+class Peer:
+    """One client's connection."""
+
+    def __init__(self, server: HttpServer, connection: Connection) -> None:
+        self.connection, self._server = connection, server
+        self._h11 = h11.Connection(h11.SERVER, max_incomplete_event_size=MOST_HEAD)
+        self._head: h11.Request | None = None
+        self._body = bytearray()
+        self._ahead = 0
+        self.exchange: Exchange | None = None
+        self.since = trio.current_time()  # when it became idle
+
+    async def feed(self, ring: Ring) -> int:
+        self._ahead = self._ahead + ring.size if self.exchange else 0
+        if self._ahead > MOST_AHEAD:
+            self.connection.abort()
+        self._h11.receive_data(ring.take(ring.size))
+        await self._read()
+        return 1
+
+    async def _read(self) -> None:
+        try:
+            while self.exchange is None:
+                event = self._h11.next_event()
+                if isinstance(event, h11.Request):
+                    self._head, self._body = event, bytearray()
+                    self.since = trio.current_time()
+                    if self._h11.they_are_waiting_for_100_continue:
+                        go_on = h11.InformationalResponse(status_code=100, headers=[])
+                        self.connection.write(self._h11.send(go_on) or b"")
+                elif isinstance(event, h11.Data):
+                    self._body += event.data
+                    if len(self._body) > MOST_BODY:
+                        self._bad(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
+                        return
+                elif isinstance(event, h11.EndOfMessage):
+                    await self._take()
+                else:
+                    return  # NEED_DATA, PAUSED or the end
+        except h11.RemoteProtocolError as error:
+            self._bad(error.error_status_hint)
+        except UnicodeDecodeError:
+            self._bad(HTTPStatus.BAD_REQUEST)
+
+    async def _take(self) -> None:
+        assert self._head is not None
+        headers = {k.decode("ascii"): v.decode("latin-1") for k, v in self._head.headers}
+        target = self._head.target.decode("ascii")
+        method = self._head.method.decode("ascii")
+        self.exchange = Exchange(self, HttpRequest(method, target, headers, bytes(self._body)))
+        self._server.counters.add("http_requests")
+        await self._server.handle(self.exchange)
+
+    def _bad(self, status: int) -> None:
+        """Answers what is no request, where HTTP still allows one, and closes."""
+        self._server.counters.add("bad_input")
+        self._write(HttpResponse(status), close=True)
+
+    def _write(self, response: HttpResponse, close: bool = False) -> None:
+        head = self._head is not None and self._head.method == b"HEAD"
+        headers = [("content-length", str(len(response.body))), *response.headers]
+        if response.status == HTTPStatus.NOT_MODIFIED:
+            headers = response.headers
+        if close:
+            headers = [*headers, ("connection", "close")]
+        try:
+            reason = HTTPStatus(response.status).phrase.encode()
+            start = h11.Response(status_code=response.status, headers=headers, reason=reason)
+            data = self._h11.send(start) or b""
+            if response.body and not head:
+                data += self._h11.send(h11.Data(response.body)) or b""
+            data += self._h11.send(h11.EndOfMessage()) or b""
+            self.connection.write(data)
+        except h11.LocalProtocolError as error:
+            log.info("no answer possible: %s", type(error).__name__)
+            close = True
+        if close or self._h11.our_state is h11.MUST_CLOSE:
+            self.connection.finish()
+
+    def respond(self, exchange: Exchange, response: HttpResponse) -> None:
+        if self.exchange is not exchange:
+            return  # the client has left
+        self.exchange, self.since = None, trio.current_time()
+        self._server.counters.add(f"http_{response.status}")
+        self._write(response)
+        if self._h11.our_state is h11.DONE and self._h11.their_state is h11.DONE:
+            self._h11.start_next_cycle()
+            if self._h11.trailing_data[0]:
+                self._server.soon(self._read)
+
+    async def leave(self) -> None:
+        exchange, self.exchange = self.exchange, None
+        if exchange is not None and exchange.left is not None:
+            await exchange.left()
+
+
+class HttpServer:
+    """Owns a listener and the peers that came through it."""
+
+    def __init__(self, listener: Listener, handle: Handle, counters: Counters) -> None:
+        self._listener, self.handle, self.counters = listener, handle, counters
+        self._peers: set[Peer] = set()
+        self._nursery: trio.Nursery | None = None
+
+    async def run(self) -> None:
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            nursery.start_soon(self._listener.run, self._serve, self._close_idlest)
+            while True:
+                await trio.sleep(IDLE_S / 5)
+                for peer in self._idle():
+                    if peer.since < trio.current_time() - IDLE_S:
+                        peer.connection.finish()
+
+    def soon(self, call: Callable[[], Awaitable[None]]) -> None:
+        assert self._nursery is not None
+        self._nursery.start_soon(call)
+
+    @property
+    def unsent(self) -> int:
+        return sum(p.connection.unsent for p in self._peers)
+
+    def _idle(self) -> list[Peer]:
+        return [p for p in self._peers if p.exchange is None and not p.connection.unsent]
+
+    def _close_idlest(self) -> bool:
+        idle = min(self._idle(), key=lambda p: p.since, default=None)
+        if idle is not None:
+            idle.connection.abort()
+        return False
+
+    async def _serve(self, connection: Connection) -> None:
+        peer = Peer(self, connection)
+        self._peers.add(peer)
+        try:
+            await connection.serve(peer.feed)
+        except Exception:  # one client's trouble must not end the others
+            log.exception("a client's connection failed")
+        finally:
+            self._peers.remove(peer)
+            with trio.CancelScope(shield=True):
+                await peer.leave()
--- a/starlinghaven/routing/engine.py
+++ b/starlinghaven/routing/engine.py
@@ -37,6 +37,7 @@
 MARGIN_MS = 25.0  # ms before the client's deadline at which its request ends here: the answer must travel
 GUARD_MS = 5.0  # ms after that, at which one that the Router still holds is failed
 MOST_OPEN = 2048  # requests held at once; beyond it they are refused unseen
+UNSERVED_STEP, UNSERVED_MS = 0.02, 5_000.0  # weight of one answer, and ms over which it is forgotten
 NOTES = {note.value: note for note in i.Note}
 
 
@@ -49,6 +50,7 @@
     deadline: float
     attempts: int = 0
     last: i.Code | None = None  # how its last attempt ended
+    lacking: bool = False  # that one could be filled, and no copy was to be had
 
 
 @dataclass(order=True, slots=True)
@@ -74,7 +76,8 @@
         self._order = itertools.count()
         self._next = itertools.count(1)
         self._quiet = trio.Event()
-        self.draining = False
+        self.ready = self.draining = False
+        self._unserved, self._unserved_at = 0.0, clock.now()  # share of answers that did not serve, lately
 
     # -- for other tasks --------------------------------------------------------------------------
 
@@ -91,6 +94,25 @@
         """Caches of the own zone that are up."""
         return len(self._router.caches)
 
+    @property
+    def state(self) -> str:
+        """ready, draining or stopped: what balancers are told."""
+        if self.draining:
+            return "draining" if self.ready else "stopped"
+        return "ready" if self.ready else "stopped"
+
+    @property
+    def weight(self) -> int:
+        """Part of its usual traffic that this proxy can take, in percent: at least 1, so that it is seen
+        when it recovers. It falls with caches that are listed but not up, and with what is refused."""
+        behind = (self._settings.origin_kind, self._settings.parent_kind)
+        own = [s for s in self._stores.values() if s.zone == self._settings.zone and s.kind not in behind]
+        up = sum(s.phase is i.Phase.UP for s in own) / len(own) if own else 0.0
+        return max(round(100 * up * (1.0 - self._unserved_now())), 1)
+
+    def _unserved_now(self) -> float:
+        return self._unserved * math.exp((self._unserved_at - self.clock.now()) / UNSERVED_MS)
+
     async def quiet(self) -> None:
         """Waits until nothing that was taken is left unanswered."""
         while self._open or self._receive.statistics().current_buffer_used:
@@ -192,6 +214,9 @@
 
     def _tell(self, ticket: Ticket, answer: Answer) -> None:
         self.counters.add(f"answered_{answer.result.name.lower()}")
+        unserved = answer.result in (Result.REFUSED, Result.FAILED)
+        self._unserved = self._unserved_now() + UNSERVED_STEP * (unserved - self._unserved_now())
+        self._unserved_at = self.clock.now()
         ticket.answer(answer)
 
     # -- attempts ---------------------------------------------------------------------------------
@@ -209,6 +234,7 @@
         request = self._open.get(a.request)
         if request is not None:
             request.last = e.code
+            request.lacking = e.code is i.Code.MISS and a.source != a.store
             if e.code is i.Code.OK:
                 result = Result.UNCHANGED if e.unchanged else Result.SERVED
                 self._finish(a.request, Answer(result, e.body, tag=e.tag))
@@ -293,11 +319,10 @@
         if request is None:
             return
         late = request.last is i.Code.TIMEOUT and self.clock.now() >= request.deadline - MARGIN_MS
-        lacking = request.last is i.Code.MISS
         if isinstance(action, i.Refuse):
-            answer = Answer(Result.REFUSED, wait_ms=action.wait_ms, late=late, lacking=lacking)
+            answer = Answer(Result.REFUSED, wait_ms=action.wait_ms, late=late, lacking=request.lacking)
         else:
-            answer = Answer(Result.FAILED, late=late, lacking=lacking)
+            answer = Answer(Result.FAILED, late=late, lacking=request.lacking)
         self._finish(action.request, answer)
 
     def _listed(self, news: FleetNews) -> None:
--- /dev/null
+++ b/tests/test_program.py
@@ -0,0 +1,168 @@
+"""The program as a process: clients, stores, signals and the change log over real sockets."""
+
+from __future__ import annotations
+
+import signal
+import struct
+from pathlib import Path
+
+import trio
+
+from starlinghaven.protocol.resp import encode
+from tests.loopback import KEY, in_trio, program
+
+
+@in_trio
+async def test_a_request_is_served_and_passes_on_what_the_client_gave(tmp_path: Path) -> None:
+    async with program(tmp_path) as p:
+        client = await p.client()
+        assert await client.health() == b"READY"
+        answer = await client.call(call="9b1f03aa5c7e2d41")
+        assert answer[1:] == [b"RESULT", b"", f"{KEY}/3".encode()]
+        (order,) = p.archive.orders
+        assert (order["id"], order["c"], order["k"], order["p"]) == ("9b1f03aa5c7e2d41", "pieces", KEY, "3")
+        assert order["body"] == "x" and order["at"] == "s-00000001" and order["up"] == "s-00000002"
+
+
+@in_trio
+async def test_a_keyed_request_goes_to_the_origin_with_its_key(tmp_path: Path) -> None:
+    async with program(tmp_path) as p:
+        answer = await (await p.client()).call("depot", dedupe="5c0f6e1a2b3d4c59a8b7c6d5e4f30211")
+        assert answer[1] == b"RESULT"
+        (order,) = p.archive.orders
+        assert (order["i"], order["at"]) == ("5c0f6e1a2b3d4c59a8b7c6d5e4f30211", "s-00000003")
+
+
+@in_trio
+async def test_a_client_copy_that_still_holds_is_said_without_bytes(tmp_path: Path) -> None:
+    async with program(tmp_path) as p:
+        p.archive.plan[KEY] = (0.0, "still_good")
+        answer = await (await p.client()).call(cached="4be0c1927d55a6f3")
+        assert answer[1:] == [b"RESULT", b"keep=1", b""] and p.archive.orders[0]["inm"] == "4be0c1927d55a6f3"
+
+
+@in_trio
+async def test_a_request_given_up_is_refused_at_once_with_a_time_to_stay_away(tmp_path: Path) -> None:
+    """Every store errs at once: the answer must not wait for the client's deadline of 30 s."""
+    async with program(tmp_path) as p:
+        p.archive.plan[KEY] = (0.0, "crashed")
+        with trio.fail_after(10):
+            answer = await (await p.client()).call(ttl="30000")
+        assert answer[1:3] == [b"REJECT", b"pushback=500"]
+        assert p.archive.most_out == 1 and len(p.archive.orders) <= 6
+
+
+@in_trio
+async def test_time_runs_out_with_one_answer_and_the_attempt_dropped(tmp_path: Path) -> None:
+    async with program(tmp_path) as p:
+        p.archive.plan[KEY] = (30.0, "served")
+        client = await p.client()
+        answer = await client.call(ttl="600")
+        assert answer[1] in (b"REJECT", b"ABORTED")
+        assert p.archive.dropped and p.archive.most_out == 1
+        assert (await client.call(key="00000000000000aa"))[1] == b"RESULT", "no second answer in between"
+
+
+@in_trio
+async def test_a_cancelled_request_gets_no_answer_and_drops_its_attempt(tmp_path: Path) -> None:
+    async with program(tmp_path) as p:
+        p.archive.plan[KEY] = (0.3, "served")
+        client = await p.client()
+        tag = await client.send()
+        while not p.archive.orders:
+            await trio.sleep(0.01)
+        await client.words.write(b"RPC.CANCEL", b"%d" % tag)
+        while not p.archive.dropped:
+            await trio.sleep(0.01)
+        assert (await client.call(key="00000000000000aa"))[1] == b"RESULT"
+
+
+@in_trio
+async def test_a_reset_by_a_store_is_followed_by_another_attempt(tmp_path: Path) -> None:
+    async with program(tmp_path) as p:
+        p.archive.plan[KEY] = (0.0, "reset")
+        answer = await (await p.client()).call()
+        assert answer[1] in (b"REJECT", b"RESULT", b"ABORTED") and len(p.archive.orders) >= 2
+
+
+@in_trio
+async def test_bad_input_is_failed_or_closed_and_never_sent_on(tmp_path: Path) -> None:
+    call = b"call=9b1f03aa5c7e2d41,ttl=900,row=" + KEY.encode()
+    failed = (
+        {"ttl": "0"}, {"ttl": "x"}, {"call": "zz"}, {"row": "12"}, {"block": "-1"}, {"family": "256"},
+        {"heap": "nan"}, {"dedupe": "a b"}, {"cached": "\x01"}, {"row": None},
+    )  # fmt: skip
+    closed = (
+        b"hello\r\n", b"*0\r\n", b"*99\r\n", b"*2\r\n$99999999\r\n", b"*1\r\n$3\r\nfoobar\r\n",
+        encode(b"RPC.STEAL", b"1"), encode(b"RPC.CALL", b"0", b"pieces", call), encode(b"RPC.CALL"),
+        encode(b"RPC.HEALTH", b"1") * 2, encode(b"RPC.CALL", b"7", b"pieces", b"x" * 5000),
+    )  # fmt: skip
+    async with program(tmp_path) as p:
+        client = await p.client()
+        for fields in failed:
+            assert (await client.call(**fields))[1] == b"ABORTED", fields
+        assert (await client.call("novel"))[1] == b"ABORTED"
+        for text in closed:
+            other = await p.client()
+            await other.words.stream.send_all(text)
+            while await other.words.read() is not None:
+                pass
+        assert p.archive.orders == []
+        assert (await client.call())[1] == b"RESULT"
+
+
+@in_trio
+async def test_sigterm_keeps_answering_through_its_window_and_ends_with_0(tmp_path: Path) -> None:
+    async with program(tmp_path) as p:
+        p.archive.plan[KEY] = (1.2, "served")
+        client = await p.client()
+        tag = await client.send()
+        while not p.archive.orders:
+            await trio.sleep(0.01)
+        p.process.send_signal(signal.SIGTERM)
+        await p.logged("draining open=1")
+        late = await p.client()
+        assert (await late.call(key="00000000000000aa"))[1] == b"RESULT", "a new connection while draining"
+        answer = await client.words.read()
+        assert answer is not None and int(answer[0]) == tag and answer[1] == b"RESULT"
+        assert await p.exit_code() == 0
+        assert "answered_served=2" in p.log() and "taken=2" in p.log()
+
+
+@in_trio
+async def test_counters_are_printed_on_request(tmp_path: Path) -> None:
+    async with program(tmp_path) as p:
+        await (await p.client()).call()
+        p.process.send_signal(signal.SIGUSR1)
+        await p.logged("answered_served=1 connections=1 ended_ok=1")
+
+
+@in_trio
+async def test_the_change_log_is_followed_and_taken_up_again_after_its_last_event(tmp_path: Path) -> None:
+    """Readiness does not wait for it, a purge bounds the age of copies, and silence ends a connection."""
+    asked: list[int] = []
+    gone = struct.pack(">I4sHBBBHIQ", 1, bytes(4), 1, 2, 1, 0, 0, 0, 0)
+
+    async def serve(stream: trio.SocketStream) -> None:
+        asked.append(int.from_bytes(await stream.receive_some(8), "big"))
+        if len(asked) == 1:
+            purge = struct.pack(">QB8sQ", 2, 3, bytes.fromhex(KEY), 1)
+            await stream.send_all(struct.pack(">I", len(purge)) + purge)
+            await trio.sleep_forever()  # silent from here on
+        frame = struct.pack(">QB", 3, 2) + gone
+        await stream.send_all(struct.pack(">I", len(frame)) + frame)
+        await trio.sleep_forever()
+
+    async with trio.open_nursery() as nursery:
+        (listener,) = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        address = f"127.0.0.1:{listener.socket.getsockname()[1]}"
+        async with program(tmp_path, changelog=address) as p:
+            client = await p.client()
+            assert await client.health() == b"READY"
+            nursery.start_soon(trio.serve_listeners, serve, [listener])
+            while len(asked) < 2:
+                await trio.sleep(0.01)
+            assert asked == [1, 2]
+            while (await client.call())[1] == b"RESULT" and p.archive.orders[-1]["at"] == "s-00000001":
+                await trio.sleep(0.01)  # until the list says that the cache is gone
+        nursery.cancel_scope.cancel()
