--- /dev/null
+++ b/starlinghaven/plugin/__init__.py
@@ -0,0 +1,1 @@
+"""What runs beside the daemon, in the process of an application."""
