--- a/starlinghaven/program/daemon.py
+++ b/starlinghaven/program/daemon.py
@@ -11,7 +11,7 @@
 
 import trio
 
-from starlinghaven.program import checks, config, operator
+from starlinghaven.program import checks, config, logs, operator
 from starlinghaven.program.core import RESERVE, Core
 from starlinghaven.program.http import Exchange, Handle, HttpServer
 from starlinghaven.program.platform import PlatformFront
@@ -118,9 +118,7 @@
 
 
 def main() -> int:
-    logging.basicConfig(
-        stream=sys.stderr, level=logging.INFO, format="%(asctime)s %(levelname)s %(name)s %(message)s"
-    )
+    logs.start()
     gc.set_threshold(20_000, 20, 50)
     try:
         path = os.environ.get(operator.VARIABLE)
--- a/starlinghaven/program/issue.py
+++ b/starlinghaven/program/issue.py
@@ -8,6 +8,8 @@
 from collections.abc import Sequence
 from pathlib import Path
 
+import jwt
+
 from starlinghaven.protocol import uri_signing
 
 
@@ -36,7 +38,7 @@
     except (uri_signing.BadKeys, uri_signing.BadToken, OSError, ValueError) as error:
         print(f"starlinghaven: {error}", file=sys.stderr)
         return 2
-    except (TypeError, AttributeError):
+    except (TypeError, AttributeError, jwt.PyJWTError):
         print("starlinghaven: this key can't sign: its private part is not in the file", file=sys.stderr)
         return 2
     print(token if args.token_only else uri_signing.add_token(args.uri, token))
--- a/starlinghaven/program/platform.py
+++ b/starlinghaven/program/platform.py
@@ -18,7 +18,8 @@
 log = logging.getLogger(__name__)
 
 IDLE_S = 30.0  # seconds after which a connection with nothing open is closed; clients do so after 4
-MOST_TAGS = 65_536  # tags of one connection, after which it is closed once nothing is open
+TAGS_APART = 4_096  # used tags kept one by one, from which a connection is closed once nothing is open
+MOST_TAGS_APART = 4 * TAGS_APART  # ... and at which it is closed in any case
 
 
 class _Ticket:
@@ -46,7 +47,8 @@
     def __init__(self, front: PlatformFront, connection: Connection) -> None:
         self.connection, self._front = connection, front
         self._reader = platform.reader()
-        self._used: set[int] = set()
+        self._used_to = 0  # all tags up to this one have been used
+        self._used: set[int] = set()  # those used above it
         self.open: dict[int, _Ticket] = {}
 
     async def feed(self, ring: Ring) -> int:
@@ -80,10 +82,18 @@
                 await self._call(message)
 
     def _new_tag(self, tag: int) -> None:
-        """A tag used again can't be answered without doubt which request is meant."""
-        if tag in self._used:
+        """A tag used again can't be answered without doubt which request is meant.
+
+        Tags mostly count up, so that only the gaps cost memory; far too many of them end the connection.
+        """
+        if tag <= self._used_to or tag in self._used:
             raise ProtocolError("a tag is used again")
+        if len(self._used) >= MOST_TAGS_APART:
+            raise ProtocolError("too many tags with gaps between them")
         self._used.add(tag)
+        while self._used_to + 1 in self._used:
+            self._used_to += 1
+            self._used.remove(self._used_to)
 
     async def _call(self, call: platform.Call) -> None:
         cls = self._front.classes.get(call.cls)
@@ -116,7 +126,7 @@
         """Writes a request's final answer, unless its client has left."""
         if self.open.pop(tag, None):
             self.connection.write(text)
-            if len(self._used) >= MOST_TAGS and not self.open:
+            if len(self._used) >= TAGS_APART and not self.open:
                 self.connection.finish()
 
     async def leave(self) -> None:
--- a/starlinghaven/protocol/caches.py
+++ b/starlinghaven/protocol/caches.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 
@@ -92,8 +93,8 @@
         load = {}
         for pair in filter(None, fields.get("load", "").split(";")):
             name, _, value = pair.partition(":")
-            if name in LOAD_NAMES:
-                load[LOAD_NAMES[name]] = float(value)
+            if name in LOAD_NAMES and math.isfinite(number := float(value)):  # nan would stay in means
+                load[LOAD_NAMES[name]] = number
         note = fields.get("note", "")
         return Said(
             id=words[0].decode("ascii"),
