Give both fronts one owner of their clients' connections, and guard the plug-in's callbacks

program/peers.py serves connections, closes idle ones and makes room at the limit; platform.py and http.py each did it by themselves, in like lines.

Found by reading, with a test that failed before: a callback of a gRPC call that raises ran inside the engine's task and ended its thread with every call in it (plugin/grpc_client.py, EngineCall.end). What ends the thread after its start is logged now. The deploy file is tested for what it names.

--- a/starlinghaven/plugin/grpc_client.py
+++ b/starlinghaven/plugin/grpc_client.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import contextlib
+import logging
 import queue
 import secrets
 import threading
@@ -26,6 +27,8 @@
 from starlinghaven.protocol.uri_signing import BadToken
 from starlinghaven.routing.types import Answer, Ask, Left, Result, Taken
 
+log = logging.getLogger(__name__)
+
 WAITING = 1024  # calls and cancellations that may wait for the engine
 TOKEN = "authorization"  # metadata that carries the token, as `Bearer TOKEN`
 PUSHBACK = "grpc-retry-pushback-ms"  # trailing metadata that tells when to come back
@@ -85,13 +88,15 @@
     def close(self) -> None:
         """Answers what is open, for a bounded time, and ends the thread."""
         if self._token is not None and self._stop is not None and self._thread.is_alive():
-            self._token.run_sync_soon(self._stop.set)
+            with contextlib.suppress(trio.RunFinishedError):
+                self._token.run_sync_soon(self._stop.set)
             self._thread.join(STOP_S + 1.0)
 
     def _run(self) -> None:
         try:
             trio.run(self._main)
-        except BaseException as error:  # told to whoever starts it
+        except BaseException as error:  # told to whoever starts it, or logged if that has returned
+            log.exception("the engine's thread ended")
             self._started.put(error)
         finally:  # no call may wait for an engine that is not there any more
             for ticket in list(self._tickets):
@@ -191,7 +196,10 @@
 
 
 class EngineCall(grpc.Call, grpc.Future):  # type: ignore[misc]
-    """One call as grpcio's callers see it. It ends exactly once."""
+    """One call as grpcio's callers see it. It ends exactly once.
+
+    Its callbacks run in the engine's thread and must not block.
+    """
 
     def __init__(
         self, engine: EngineThread, make: Callable[[bytes], Any], timeout: float | None
@@ -229,7 +237,10 @@
         self._engine.ended(self.ticket)
         self._done.set()
         for callback in callbacks:
-            callback()
+            try:
+                callback()
+            except Exception:  # the application's trouble must not end the engine's thread
+                log.exception("a callback of a call failed")
         return True
 
     def _wait(self, timeout: float | None = None) -> None:
--- a/starlinghaven/program/daemon.py
+++ b/starlinghaven/program/daemon.py
@@ -72,9 +72,9 @@
                 await self.core.start(nursery)
                 for listener in self._listeners:
                     await listener.open()
-                nursery.start_soon(self.front.run)
+                nursery.start_soon(self.front.peers.run)
                 for server in self.servers:
-                    nursery.start_soon(server.run)
+                    nursery.start_soon(server.peers.run)
                 if self.agent:
                     nursery.start_soon(self.agent.run)
                 self.engine.ready = True
@@ -104,7 +104,7 @@
         await trio.sleep(WINDOW_S)
         await self.engine.quiet()
         with trio.move_on_after(FLUSH_S):
-            while self.front.unsent or any(server.unsent for server in self.servers):
+            while self.front.peers.unsent or any(s.peers.unsent for s in self.servers):
                 await trio.sleep(0.005)
         self.engine.ready = False
 
--- a/starlinghaven/program/http.py
+++ b/starlinghaven/program/http.py
@@ -10,6 +10,7 @@
 import h11
 import trio
 
+from starlinghaven.program.peers import Peers
 from starlinghaven.routing.types import Counters
 from starlinghaven.transport.connection import Connection
 from starlinghaven.transport.listener import Listener
@@ -41,7 +42,7 @@
 class Exchange:
     """One request and its one response. Compared by identity, so that it can be a ticket."""
 
-    def __init__(self, peer: Peer, request: HttpRequest) -> None:
+    def __init__(self, peer: HttpPeer, request: HttpRequest) -> None:
         self.request, self._peer = request, peer
         self.left: Callable[[], Awaitable[None]] | None = None  # what to do when the client leaves
 
@@ -53,7 +54,7 @@
 """Takes a request. It responds to the exchange now or later."""
 
 
-class Peer:
+class HttpPeer:
     """One client's connection."""
 
     def __init__(self, server: HttpServer, connection: Connection) -> None:
@@ -151,6 +152,10 @@
             log.exception("a client's connection failed")
             self.connection.abort()
 
+    @property
+    def busy(self) -> bool:
+        return self.exchange is not None
+
     async def leave(self) -> None:
         exchange, self.exchange = self.exchange, None
         if exchange is not None and exchange.left is not None:
@@ -158,48 +163,11 @@
 
 
 class HttpServer:
-    """Owns a listener and the peers that came through it."""
+    """Takes HTTP requests through a listener and has them handled."""
 
     def __init__(self, listener: Listener, handle: Handle, counters: Counters) -> None:
-        self._listener, self.handle, self.counters = listener, handle, counters
-        self._peers: set[Peer] = set()
-        self._nursery: trio.Nursery | None = None
-
-    async def run(self) -> None:
-        async with trio.open_nursery() as nursery:
-            self._nursery = nursery
-            nursery.start_soon(self._listener.run, self._serve, self._close_idlest)
-            while True:
-                await trio.sleep(IDLE_S / 5)
-                for peer in self._idle():
-                    if peer.since < trio.current_time() - IDLE_S:
-                        peer.connection.finish()
+        self.handle, self.counters = handle, counters
+        self.peers = Peers(listener, lambda connection: HttpPeer(self, connection), IDLE_S)
 
     def soon(self, call: Callable[[], Awaitable[None]]) -> None:
-        assert self._nursery is not None
-        self._nursery.start_soon(call)
-
-    @property
-    def unsent(self) -> int:
-        return sum(p.connection.unsent for p in self._peers)
-
-    def _idle(self) -> list[Peer]:
-        return [p for p in self._peers if p.exchange is None and not p.connection.unsent]
-
-    def _close_idlest(self) -> bool:
-        idle = min(self._idle(), key=lambda p: p.since, default=None)
-        if idle is not None:
-            idle.connection.abort()
-        return False
-
-    async def _serve(self, connection: Connection) -> None:
-        peer = Peer(self, connection)
-        self._peers.add(peer)
-        try:
-            await connection.serve(peer.feed)
-        except Exception:  # one client's trouble must not end the others
-            log.exception("a client's connection failed")
-        finally:
-            self._peers.remove(peer)
-            with trio.CancelScope(shield=True):
-                await peer.leave()
+        self.peers.nursery.start_soon(call)
--- a/starlinghaven/program/platform.py
+++ b/starlinghaven/program/platform.py
@@ -5,9 +5,8 @@
 import logging
 from collections.abc import Callable, Sequence
 
-import trio
-
 from starlinghaven import interface as i
+from starlinghaven.program.peers import Peers
 from starlinghaven.protocol import ProtocolError, platform
 from starlinghaven.routing.engine import Engine
 from starlinghaven.routing.types import Answer, Ask, Counters, Left, Result, Taken
@@ -129,6 +128,14 @@
             if len(self._used) >= TAGS_APART and not self.open:
                 self.connection.finish()
 
+    @property
+    def busy(self) -> bool:
+        return bool(self.open)
+
+    @property
+    def since(self) -> float:
+        return self.connection.heard_at
+
     async def leave(self) -> None:
         gone, self.open = self.open, {}
         for ticket in gone.values():
@@ -136,7 +143,7 @@
 
 
 class PlatformFront:
-    """Owns the platform's listener and its clients."""
+    """Speaks the platform's protocol with its clients."""
 
     def __init__(
         self,
@@ -149,41 +156,8 @@
     ) -> None:
         self.engine, self.settings, self.state, self.counters = engine, settings, state, counters
         self.classes = {name: n for n, name in enumerate(classes)}
-        self._listener = listener
-        self._clients: set[_Client] = set()
-
-    async def run(self) -> None:
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._listener.run, self._serve, self._close_idlest)
-            while True:
-                await trio.sleep(IDLE_S / 6)
-                before = trio.current_time() - IDLE_S
-                for client in self._idle():
-                    if client.connection.heard_at < before:
-                        client.connection.finish()
+        self.peers = Peers(listener, self._connected, IDLE_S)
 
-    @property
-    def unsent(self) -> int:
-        return sum(c.connection.unsent for c in self._clients)
-
-    def _idle(self) -> list[_Client]:
-        return [c for c in self._clients if not c.open and not c.connection.unsent]
-
-    def _close_idlest(self) -> bool:
-        idle = min(self._idle(), key=lambda c: c.connection.heard_at, default=None)
-        if idle is not None:
-            idle.connection.abort()
-        return False  # its place is free once it has closed
-
-    async def _serve(self, connection: Connection) -> None:
-        client = _Client(self, connection)
-        self._clients.add(client)
+    def _connected(self, connection: Connection) -> _Client:
         self.counters.add("connections")
-        try:
-            await connection.serve(client.feed)
-        except Exception:  # one client's trouble must not end the others
-            log.exception("a client's connection failed")
-        finally:
-            self._clients.remove(client)
-            with trio.CancelScope(shield=True):
-                await client.leave()
+        return _Client(self, connection)
--- /dev/null
+++ b/tests/test_deploy.py
@@ -0,0 +1,40 @@
+"""The deploy file: what it names is there, and `sim` starts and ends as the platform starts it."""
+
+from __future__ import annotations
+
+import os
+import subprocess
+import sys
+import tomllib
+from pathlib import Path
+
+from tests.loopback import ROOT
+
+DEPLOY = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())
+
+
+def test_the_files_that_it_names_are_there() -> None:
+    for name in DEPLOY["policy"] + DEPLOY["node"]:
+        assert (ROOT / name).exists(), name
+    layers = {p.name for p in (ROOT / "starlinghaven").iterdir() if (p / "__init__.py").exists()}
+    assert {Path(n).name for n in DEPLOY["node"]} >= layers - {"plugin"}
+
+
+def test_both_commands_start_the_modules_that_are_there(tmp_path: Path) -> None:
+    """The commands as written, but for the interpreter of the environment that `build` makes."""
+    for key, code in (("run", 2), ("sim", 0)):
+        command = DEPLOY[key].replace(".venv/bin/python", sys.executable)
+        assert command != DEPLOY[key]
+        env = {k: v for k, v in os.environ.items() if k != "LB_CONFIG"} | {"TMPDIR": str(tmp_path)}
+        ended = subprocess.run(
+            ["/bin/sh", "-c", command], cwd=ROOT, env=env, stdin=subprocess.DEVNULL, capture_output=True,
+            text=True, timeout=60,
+        )  # fmt: skip
+        assert ended.returncode == code and "Traceback" not in ended.stderr
+        assert ("LB_CONFIG" in ended.stderr) == (key == "run")
+
+
+def test_requirements_are_pinned() -> None:
+    for name in ("requirements.txt", "requirements-dev.txt"):
+        lines = [s for s in (ROOT / name).read_text().splitlines() if s and not s.startswith("#")]
+        assert lines and all("==" in line for line in lines)
--- a/tests/test_grpc_client.py
+++ b/tests/test_grpc_client.py
@@ -158,6 +158,15 @@
         time.sleep(0.01)
 
 
+def test_a_callback_that_fails_ends_no_engine(archive: Archive, channel: grpc.Channel) -> None:
+    stub = channel.unary_unary(FETCH)
+    archive.plan[KEY] = (0.1, "served")
+    future = stub.future(json.dumps(page()).encode(), metadata=token(), timeout=5)
+    future.add_done_callback(lambda _: 1 // 0)
+    assert future.result() == f"{KEY}/3"
+    assert stub(json.dumps(page()).encode(), metadata=token(), timeout=5) == f"{KEY}/3"
+
+
 def test_other_methods_go_on_to_their_channel(archive: Archive, channel: grpc.Channel) -> None:
     assert error(lambda: fetch(channel, OTHER)(timeout=5)).code() is grpc.StatusCode.UNAVAILABLE
     assert archive.orders == [], "nothing listens on the channel's port, and the engine was not asked"
