Follow the change log at its new address when SIGHUP rereads the configuration

At fault: Daemon._reload knew only the second front's keys; ChangeLog had one address for life, and SILENCE_S 3 s with looks each 0.75 s left under half a second of the 4 s that a stopped log may take. Now SIGHUP takes the configuration anew, a file that can't be used leaves the old in force, and the log moves at once. Silence counts from 2 s, looked at each quarter of a second.

The new test hangs without the change, as the new address is never asked.

--- a/starlinghaven/program/changelog.py
+++ b/starlinghaven/program/changelog.py
@@ -16,9 +16,9 @@
 
 log = logging.getLogger(__name__)
 
-SILENCE_S = 3.0  # seconds without even an empty frame, which comes each second
+SILENCE_S = 2.0  # seconds without even an empty frame, which comes each second
 DIAL_S = 1.0
-PAUSE_S, PAUSE_MOST_S = 0.1, 1.0  # seconds between two tries, doubled up to the most
+PAUSE_S, PAUSE_MOST_S = 0.05, 0.8  # seconds between two tries, doubled up to the most
 PHASES = {
     changelog.READY: i.Phase.UP,
     changelog.DRAINING: i.Phase.DRAINING,
@@ -44,20 +44,33 @@
     def __init__(self, address: str, last: int, engine: Engine, memory: Memory, counters: Counters) -> None:
         self._address, self.last = address, last
         self._engine, self._memory, self._counters = engine, memory, counters
+        self._moved = trio.CancelScope()
+
+    def move(self, address: str) -> None:
+        """Follows the log at another address from now on, after the last event that is known.
+
+        Guards against a log that is moved under load: the old address may stay open and say nothing.
+        """
+        if address != self._address:
+            self._address = address
+            self._moved.cancel()
 
     async def run(self) -> None:
         pause = PAUSE_S
         while True:
-            before = self.last
-            try:
-                heard = await self._follow()
-            except (OSError, NoMemory) as error:
-                heard = False
-                log.warning("change log: %s", error)
-            pause = PAUSE_S if heard or self.last > before else min(2 * pause, PAUSE_MOST_S)
-            self._counters.add("changelog_lost")
-            log.info("change log lost after event %d, again in %.1f s", self.last, pause)
-            await trio.sleep(pause)
+            with trio.CancelScope() as self._moved:
+                while self._address:
+                    try:
+                        heard = await self._follow()
+                    except (OSError, NoMemory) as error:
+                        heard = False
+                        log.warning("change log: %s", error)
+                    pause = PAUSE_S if heard else min(2 * pause, PAUSE_MOST_S)
+                    self._counters.add("changelog_lost")
+                    log.info("change log lost after event %d, again in %.2f s", self.last, pause)
+                    await trio.sleep(pause)
+                await trio.sleep_forever()  # no address: nothing to follow until there is one
+            pause = PAUSE_S
 
     async def _follow(self) -> bool:
         """One connection to its end; whether anything was heard on it."""
@@ -95,7 +108,7 @@
     async def _watch(connection: Connection) -> None:
         """Guards against a log that has gone silent: its connection may never break."""
         while trio.current_time() - connection.heard_at <= SILENCE_S:
-            await trio.sleep(SILENCE_S / 4)
+            await trio.sleep(SILENCE_S / 8)
         connection.abort()
 
     async def _told(self, number: int, news: changelog.News | None, resumed: bool) -> None:
--- a/starlinghaven/program/core.py
+++ b/starlinghaven/program/core.py
@@ -43,5 +43,9 @@
         nursery.start_soon(self.engine.run, self.caches)
         for n, (_, news) in enumerate(self.cfg.known):
             await self.engine.post(changelog.event(news, first=n == 0))
-        if self.cfg.log_address:
-            nursery.start_soon(self.log.run)
+        nursery.start_soon(self.log.run)
+
+    def reload(self, cfg: config.Config) -> None:
+        """Takes over what may change while the program runs: the change log's address."""
+        self.cfg = cfg
+        self.log.move(cfg.log_address)
--- a/starlinghaven/program/daemon.py
+++ b/starlinghaven/program/daemon.py
@@ -94,6 +94,14 @@
         log.info("stopped")
 
     def _reload(self) -> None:
+        """Takes the configuration and the keys anew. What can't be used leaves the old in force."""
+        try:
+            self.core.reload(config.load(os.environ))
+            self.counters.add("config_reloaded")
+            log.info("configuration reloaded changelog=%s", self.core.cfg.log_address)
+        except Exception as error:  # guards against a file caught half-written: it must not end the program
+            self.counters.add("config_kept")
+            log.error("configuration not reloaded, the old one stays: %s", error)
         if self.signed:
             self.counters.add("keys_reloaded" if self.signed.gate.reload() else "keys_kept")
 
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -4,6 +4,7 @@
 
 import signal
 import struct
+from collections.abc import Awaitable, Callable
 from pathlib import Path
 
 import trio
@@ -169,3 +170,45 @@
             while (await client.call())[1] == b"RESULT" and p.archive.orders[-1]["at"] == "s-00000001":
                 await trio.sleep(0.01)  # until the list says that the cache is gone
         nursery.cancel_scope.cancel()
+
+
+@in_trio
+async def test_sighup_moves_to_the_change_logs_new_address_after_the_last_event(tmp_path: Path) -> None:
+    """The old log stays open and says nothing more; a file that can't be used leaves the old in force."""
+    asked: list[tuple[str, int]] = []
+
+    def serving(name: str) -> Callable[[trio.SocketStream], Awaitable[None]]:
+        async def serve(stream: trio.SocketStream) -> None:
+            asked.append((name, int.from_bytes(await stream.receive_some(8), "big")))
+            purge = struct.pack(">QB8sQ", 2, 3, bytes.fromhex(KEY), 1)
+            await stream.send_all(struct.pack(">I", len(purge)) + purge)
+            while True:
+                await stream.send_all(struct.pack(">IQB", 9, 2, 0))
+                await trio.sleep(0.2)
+
+        return serve
+
+    async with trio.open_nursery() as nursery:
+        addresses = []
+        for name in ("old", "new"):
+            (listener,) = await trio.open_tcp_listeners(0, host="127.0.0.1")
+            addresses.append(f"127.0.0.1:{listener.socket.getsockname()[1]}")
+            nursery.start_soon(trio.serve_listeners, serving(name), [listener])
+        async with program(tmp_path, changelog=addresses[0]) as p:
+            while asked != [("old", 1)]:
+                await trio.sleep(0.01)
+            path = tmp_path / "config.json"
+            good = path.read_text()
+            path.write_text(good[: len(good) // 2])
+            p.process.send_signal(signal.SIGHUP)
+            await p.logged("configuration not reloaded")
+            path.write_text(good.replace(addresses[0], addresses[1]))
+            p.process.send_signal(signal.SIGHUP)
+            while len(asked) < 2:
+                await trio.sleep(0.01)
+            assert asked == [("old", 1), ("new", 2)]
+            assert (await (await p.client()).call())[1] == b"RESULT"
+            p.process.send_signal(signal.SIGUSR1)
+            await p.logged("config_kept=1 config_reloaded=1")
+            await p.logged(" purges=1 ")
+        nursery.cancel_scope.cancel()
