Close silent, half-spoken and misusing clients in time; connections belong to a store's id

Checked: 1308 connections that never sent a whole request were kept for IDLE_S = 30 s, and half messages as long; at the limit only 20 connections a second were accepted (Listener.run slept after each make_room). Found while reading: an id of an open request went out again with another object; a time to wait of years held its timer as long; any size was believed by the decisions; the pool shared connections by address, so a new store got those of the one that had gone; an answer that stopped in its middle held all on its connection. Now each has its limit: platform.py (WHOLE_S, IDLE_S, SHUN_S, MOST_BAD, _problem), listener.py, peers.py, engine.py (_ids, _place), pool.py (Place, stuck, forget).

--- a/starlinghaven/program/caches.py
+++ b/starlinghaven/program/caches.py
@@ -51,6 +51,7 @@
         except ProtocolError as error:
             log.warning("store %s sent what is no answer: %s", self.address, error)
             self.connection.abort()
+        self.amid = self._reader.amid or ring.size > 0
         return self._reader.wanted
 
     async def _said(self, said: caches.Said) -> None:
@@ -118,7 +119,7 @@
         self._engine, self._classes, self._counters = engine, classes, counters
         self._where: Where = {}
         self.pool: Pool[CacheLink] = Pool(
-            lambda address, connection: CacheLink(connection, engine, address, self._where),
+            lambda place, connection: CacheLink(connection, engine, place[1], self._where),
             memory,
             dial_s=dial_s,
             streams=streams,
@@ -133,7 +134,7 @@
             nursery.start_soon(self.pool.run)
 
     def send(self, attempt: Attempt) -> None:
-        link = self.pool.ready(attempt.address)
+        link = self.pool.ready((attempt.store, attempt.address))
         if link and attempt.ask.id not in link.out:
             self._write(link, attempt)
             return
@@ -145,7 +146,7 @@
         code = i.Code.NO_CONNECTION
         with scope:
             try:
-                link = await self.pool.link(attempt.address)
+                link = await self.pool.link((attempt.store, attempt.address))
                 if self._where.get(attempt) is not scope:
                     return  # dropped when the connection was up already, before this task went on
                 if attempt.ask.id not in link.out:
@@ -192,3 +193,6 @@
                 self._counters.add("links_retired")
                 self.pool.retire(where)
             where.give_up(attempt)
+
+    def forget(self, store: str) -> None:
+        self.pool.forget(store)
--- a/starlinghaven/program/daemon.py
+++ b/starlinghaven/program/daemon.py
@@ -110,6 +110,7 @@
         log.info("draining open=%d", self.engine.open_requests)
         self.engine.draining = True
         await trio.sleep(WINDOW_S)
+        self.front.closed = True  # one that goes on asking must not keep the program from its end
         await self.engine.quiet()
         with trio.move_on_after(FLUSH_S):
             while self.front.peers.unsent or any(s.peers.unsent for s in self.servers):
--- a/starlinghaven/program/http.py
+++ b/starlinghaven/program/http.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 import logging
+import time
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from http import HTTPStatus
 
 import h11
-import trio
 
 from starlinghaven.program.peers import Peers
 from starlinghaven.routing.types import Counters
@@ -64,7 +64,7 @@
         self._body = bytearray()
         self._ahead = 0
         self.exchange: Exchange | None = None
-        self.since = trio.current_time()  # when it became idle
+        self.since = time.monotonic()  # when it became idle
 
     async def feed(self, ring: Ring) -> int:
         self._ahead = self._ahead + ring.size if self.exchange else 0
@@ -80,7 +80,7 @@
                 event = self._h11.next_event()
                 if isinstance(event, h11.Request):
                     self._head, self._body = event, bytearray()
-                    self.since = trio.current_time()
+                    self.since = time.monotonic()
                     if self._h11.they_are_waiting_for_100_continue:
                         go_on = h11.InformationalResponse(status_code=100, headers=[])
                         self.connection.write(self._h11.send(go_on) or b"")
@@ -136,7 +136,7 @@
     def respond(self, exchange: Exchange, response: HttpResponse) -> None:
         if self.exchange is not exchange:
             return  # the client has left
-        self.exchange, self.since = None, trio.current_time()
+        self.exchange, self.since = None, time.monotonic()
         self._server.counters.add(f"http_{response.status}")
         self._write(response)
         if self._h11.our_state is h11.DONE and self._h11.their_state is h11.DONE:
@@ -156,6 +156,10 @@
     def busy(self) -> bool:
         return self.exchange is not None
 
+    @property
+    def ends_at(self) -> float:
+        return self.since + IDLE_S
+
     async def leave(self) -> None:
         exchange, self.exchange = self.exchange, None
         if exchange is not None and exchange.left is not None:
@@ -167,7 +171,7 @@
 
     def __init__(self, listener: Listener, handle: Handle, counters: Counters) -> None:
         self.handle, self.counters = handle, counters
-        self.peers = Peers(listener, lambda connection: HttpPeer(self, connection), IDLE_S)
+        self.peers = Peers(listener, lambda connection: HttpPeer(self, connection))
 
     def soon(self, call: Callable[[], Awaitable[None]]) -> None:
         self.peers.nursery.start_soon(call)
--- a/starlinghaven/program/peers.py
+++ b/starlinghaven/program/peers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import time
 from collections.abc import Callable
 from typing import Protocol
 
@@ -14,6 +15,8 @@
 
 log = logging.getLogger(__name__)
 
+SWEEP_S = 0.25  # seconds between two looks for connections whose time is over
+
 
 class Peer(Protocol):
     """One client's connection, as a front speaks on it."""
@@ -30,15 +33,15 @@
         """Whether an answer is owed on it."""
 
     @property
-    def since(self) -> float:
-        """When it last did something that keeps it from being idle."""
+    def ends_at(self) -> float:
+        """When, on time.monotonic(), it is closed if nothing is owed on it until then."""
 
 
 class Peers:
     """Owns a listener and the connections that came through it."""
 
-    def __init__(self, listener: Listener, make: Callable[[Connection], Peer], idle_s: float) -> None:
-        self._listener, self._make, self._idle_s = listener, make, idle_s
+    def __init__(self, listener: Listener, make: Callable[[Connection], Peer]) -> None:
+        self._listener, self._make = listener, make
         self._peers: set[Peer] = set()
         self._nursery: trio.Nursery | None = None
 
@@ -47,10 +50,10 @@
             self._nursery = nursery
             nursery.start_soon(self._listener.run, self._serve, self._close_idlest)
             while True:
-                await trio.sleep(self._idle_s / 5)
-                before = trio.current_time() - self._idle_s
+                await trio.sleep(SWEEP_S)
+                now = time.monotonic()
                 for peer in self._idle():
-                    if peer.since < before:
+                    if peer.ends_at < now:
                         peer.connection.finish()
 
     @property
@@ -67,10 +70,11 @@
         return [p for p in self._peers if not p.busy and not p.connection.unsent]
 
     def _close_idlest(self) -> bool:
-        idle = min(self._idle(), key=lambda p: p.since, default=None)
-        if idle is not None:
-            idle.connection.abort()
-        return False  # its place is free once it has closed
+        idle = min(self._idle(), key=lambda p: p.ends_at, default=None)
+        if idle is None:
+            return False
+        idle.connection.abort()
+        return True  # its place is free once it has closed
 
     async def _serve(self, connection: Connection) -> None:
         peer = self._make(connection)
--- a/starlinghaven/program/platform.py
+++ b/starlinghaven/program/platform.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import time
 from collections.abc import Callable, Sequence
 
 from starlinghaven import interface as i
@@ -16,16 +17,20 @@
 
 log = logging.getLogger(__name__)
 
-IDLE_S = 30.0  # seconds after which a connection with nothing open is closed; clients do so after 4
+IDLE_S = 5.0  # seconds after which a connection with nothing open is closed; clients do so after 4
+WHOLE_S = 2.0  # seconds that a message may take from its first byte, and the first one from connecting
+SHUN_S = 1.0  # seconds for which a connection that broke the protocol is kept unread before its end
+MOST_BAD = 8  # calls that can't be used on a connection, with which it is at its end
 TAGS_APART = 4_096  # used tags kept one by one, from which a connection is closed once nothing is open
+SLACK = 4.0  # times a class's give-up time up to which times to wait and to send are usual
 MOST_TAGS_APART = 4 * TAGS_APART  # ... and at which it is closed in any case
 
 
 class _Ticket:
     """One request of a client's connection."""
 
-    def __init__(self, client: _Client, tag: int) -> None:
-        self._client, self._tag = client, tag
+    def __init__(self, client: _Client, tag: int, id: str) -> None:
+        self._client, self._tag, self.id = client, tag, id
 
     def answer(self, answer: Answer) -> None:
         match answer.result:
@@ -48,27 +53,44 @@
         self._reader = platform.reader()
         self._used_to = 0  # all tags up to this one have been used
         self._used: set[int] = set()  # those used above it
+        self._bad = 0  # calls that could not be used
         self.open: dict[int, _Ticket] = {}
+        self.ends_at = time.monotonic() + WHOLE_S
+        self._amid = False  # a message has begun
 
     async def feed(self, ring: Ring) -> int:
+        whole = False
         try:
             while (words := self._reader.next(ring)) is not None:
                 await self._message(words)
+                whole = True
         except ProtocolError as error:
             self._front.counters.add("bad_input")
             log.info("client closed for bad input: %s", error)
-            self.connection.abort()
+            await self.leave()
+            self.connection.shun(SHUN_S)
+            return 1
+        amid = self._reader.amid or ring.size > 0
+        if whole or amid and not self._amid:
+            self.ends_at = time.monotonic() + (WHOLE_S if amid else IDLE_S)
+        self._amid = amid
         return self._reader.wanted
 
+    def _fail(self, tag: int, why: object) -> None:
+        """Answers a call that can't be used; nothing of it is sent on."""
+        self._front.counters.add("bad_input")
+        log.info("call failed for bad input: %s", why)
+        self.connection.write(platform.failed(tag))
+        self._bad += 1
+        if self._bad >= MOST_BAD:
+            raise ProtocolError("too many calls that can't be used")
+
     async def _message(self, words: list[bytes]) -> None:
         try:
             message = platform.parse(words)
         except platform.BadCall as bad:
             self._new_tag(bad.tag)
-            self._front.counters.add("bad_input")
-            log.info("call failed for bad input: %s", bad)
-            self.connection.write(platform.failed(bad.tag))
-            return
+            return self._fail(bad.tag, bad)
         match message:
             case platform.Cancel():
                 if ticket := self.open.pop(message.tag, None):
@@ -95,16 +117,17 @@
             self._used.remove(self._used_to)
 
     async def _call(self, call: platform.Call) -> None:
-        cls = self._front.classes.get(call.cls)
-        if cls is None or not call.row and not self._front.settings.classes[cls].uncached:
-            self._front.counters.add("bad_input")
-            self.connection.write(platform.failed(call.tag))
-            return
+        if problem := self._problem(call):
+            return self._fail(call.tag, problem)
         if len(self.open) >= platform.MOST_OPEN:
-            self._front.counters.add("bad_input")
+            raise ProtocolError("too many calls open")
+        if any(t.id == call.id for t in self.open.values()):
+            raise ProtocolError("the id of an open call is used again")
+        if self._front.closed:
             self.connection.write(platform.refused(call.tag, self._front.settings.most_wait_ms))
             return
-        ticket = self.open[call.tag] = _Ticket(self, call.tag)
+        cls = self._front.classes[call.cls]
+        ticket = self.open[call.tag] = _Ticket(self, call.tag, call.id)
         ask = Ask(
             id=call.id,
             cls=cls,
@@ -121,10 +144,31 @@
         )
         await self._front.engine.post(Taken(ask, ticket))
 
+    def _problem(self, call: platform.Call) -> str:
+        """What can't be served whatever the stores do; empty if nothing is wrong.
+
+        Guards against figures out of range. They would hold memory for hours (a time to wait), or weigh in
+        the decisions for all (a size).
+        """
+        settings = self._front.settings
+        if call.cls not in self._front.classes:
+            return "no such class"
+        cls = settings.classes[self._front.classes[call.cls]]
+        if not call.row and not cls.uncached:
+            return "no object"
+        if cls.effect is i.Effect.KEYED and not call.dedupe:
+            return "no idempotency key"
+        if call.ttl_ms > SLACK * cls.give_up_ms:
+            return "ttl out of range"
+        if settings.pace_kb_per_s and 1000 * call.size_kb / settings.pace_kb_per_s > SLACK * cls.give_up_ms:
+            return "size out of range"
+        return ""
+
     def closes(self, tag: int, text: bytes) -> None:
         """Writes a request's final answer, unless its client has left."""
         if self.open.pop(tag, None):
             self.connection.write(text)
+            self.ends_at = max(self.ends_at, time.monotonic() + (WHOLE_S if self._amid else IDLE_S))
             if len(self._used) >= TAGS_APART and not self.open:
                 self.connection.finish()
 
@@ -132,10 +176,6 @@
     def busy(self) -> bool:
         return bool(self.open)
 
-    @property
-    def since(self) -> float:
-        return self.connection.heard_at
-
     async def leave(self) -> None:
         gone, self.open = self.open, {}
         for ticket in gone.values():
@@ -156,7 +196,8 @@
     ) -> None:
         self.engine, self.settings, self.state, self.counters = engine, settings, state, counters
         self.classes = {name: n for n, name in enumerate(classes)}
-        self.peers = Peers(listener, self._connected, IDLE_S)
+        self.peers = Peers(listener, self._connected)
+        self.closed = False  # what still comes is refused: the program ends
 
     def _connected(self, connection: Connection) -> _Client:
         self.counters.add("connections")
--- a/starlinghaven/protocol/resp.py
+++ b/starlinghaven/protocol/resp.py
@@ -19,6 +19,11 @@
         self._got: list[bytes] = []
         self.wanted = 1  # bytes that the ring must hold before there is more to read
 
+    @property
+    def amid(self) -> bool:
+        """Whether an array has begun and is not whole yet."""
+        return self._left > 0
+
     def _number(self, ring: Ring, sign: bytes, most: int) -> int | None:
         """The number of a length line, or None if the line is not whole yet."""
         line = ring.line(LENGTH_LINE)
--- a/starlinghaven/routing/engine.py
+++ b/starlinghaven/routing/engine.py
@@ -6,7 +6,7 @@
 import itertools
 import logging
 import math
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 import trio
 
@@ -70,6 +70,7 @@
         self.caches: CacheSide | None = None
         self._open: dict[int, _Open] = {}
         self._numbers: dict[Ticket, int] = {}
+        self._ids: set[str] = set()  # of the open requests
         self._attempts: dict[tuple[int, int], Attempt] = {}
         self._stores: dict[str, Store] = {}
         self._due: list[_Due] = []
@@ -94,6 +95,11 @@
         """Caches of the own zone that are up."""
         return len(self._router.caches)
 
+    @property
+    def fleet_ids(self) -> set[str]:
+        """Ids of all stores that are listed and not gone."""
+        return set(self._stores)
+
     @property
     def state(self) -> str:
         """ready, draining or stopped: what balancers are told."""
@@ -175,6 +181,11 @@
             wait = self._settings.most_wait_ms if self._settings.advises_wait else 0.0
             self._tell(event.ticket, Answer(Result.REFUSED, wait_ms=wait))
             return
+        if ask.id in self._ids:  # guards an open request: stores know it by its id alone
+            self.counters.add("ids_again")
+            self._tell(event.ticket, Answer(Result.FAILED))
+            return
+        self._ids.add(ask.id)
         number = next(self._next)
         deadline = ask.taken_ms + max(ask.patience_ms - MARGIN_MS, ask.patience_ms / 2)
         request = _Open(ask, event.ticket, deadline)
@@ -206,6 +217,7 @@
         """The one place where a request leaves the engine."""
         request = self._open.pop(number)
         del self._numbers[request.ticket]
+        self._ids.remove(request.ask.id)
         if not self._open:
             self._quiet.set()
         return request
@@ -327,15 +339,37 @@
         self._finish(action.request, answer)
 
     def _listed(self, news: FleetNews) -> None:
+        before = set(self._stores)
         if news.kind is not i.ListKind.PARTIAL:
             self._stores.clear()
         members = []
         for s in news.stores:
-            if s.phase is i.Phase.GONE:
-                self._stores.pop(s.id, None)
-            else:
-                self._stores[s.id] = s
-            started = self.clock.from_unix(s.started_unix_ms)
-            members.append(i.Member(s.id, s.zone, s.kind, s.cell, s.phase, s.weight, started))
+            members += self._place(s)
+        if self.caches:
+            for gone in before - set(self._stores):
+                self.caches.forget(gone)
         self.counters.add("lists")
         self._decide(i.Members(news.kind, tuple(members)))
+
+    def _place(self, s: Store) -> list[i.Member]:
+        """Takes one line of the list; tells of every store that it changes.
+
+        Guards against an address that passes to a new id before the old id is told as gone: of two at one
+        address, the one that started later is there, and what is sent to the other would reach it.
+        """
+        changed = []
+        for other in [o for o in self._stores.values() if o.address == s.address and o.id != s.id]:
+            if s.phase is not i.Phase.GONE and s.started_unix_ms >= other.started_unix_ms:
+                del self._stores[other.id]
+                changed.append(self._member(replace(other, phase=i.Phase.GONE)))
+            else:
+                s = replace(s, phase=i.Phase.GONE)
+        if s.phase is i.Phase.GONE:
+            self._stores.pop(s.id, None)
+        else:
+            self._stores[s.id] = s
+        return [*changed, self._member(s)]
+
+    def _member(self, s: Store) -> i.Member:
+        started = self.clock.from_unix(s.started_unix_ms)
+        return i.Member(s.id, s.zone, s.kind, s.cell, s.phase, s.weight, started)
--- a/starlinghaven/routing/types.py
+++ b/starlinghaven/routing/types.py
@@ -96,6 +96,9 @@
     def drop(self, attempt: Attempt) -> None:
         """Gives an attempt up; nothing is said of it any more."""
 
+    def forget(self, store: str) -> None:
+        """A store has left the list: nothing of it is kept."""
+
 
 @dataclass(frozen=True, slots=True)
 class Store:
--- a/starlinghaven/transport/connection.py
+++ b/starlinghaven/transport/connection.py
@@ -35,7 +35,9 @@
         self._work = trio.Event()  # there is something to write, or to stop for
         self._room = trio.Event()  # the peer has read
         self._ending = False
+        self._shunned_s: float | None = None
         self.closed = False
+        self.reading = False  # it waits for the peer's bytes, and for nothing else
         self.heard_at = trio.current_time()  # when the last bytes came in
 
     @property
@@ -60,6 +62,14 @@
         self._ending = True
         self._work.set()
 
+    def shun(self, seconds: float) -> None:
+        """Reads nothing more, and closes after so long: what is queued goes out meanwhile.
+
+        Guards against a peer that breaks the protocol at full speed, on one new connection after another:
+        the wait bounds what it can cost.
+        """
+        self._shunned_s = seconds
+
     def abort(self) -> None:
         self._scope.cancel()
 
@@ -84,12 +94,18 @@
             while self._out.size > HIGH_WATER:
                 self._room = trio.Event()
                 await self._room.wait()
+            self.reading = True
             got = await self._sock.recv_into(self._in.space())
+            self.reading = False
             if not got:
                 return
             self.heard_at = trio.current_time()
             self._in.filled(got)
             wanted = await feed(self._in)
+            if self._shunned_s is not None:
+                self._in.skip(self._in.size)
+                await trio.sleep(self._shunned_s)
+                return
             if not await self._grow(max(wanted, self._in.size + 1)):
                 return
 
--- a/starlinghaven/transport/listener.py
+++ b/starlinghaven/transport/listener.py
@@ -36,6 +36,7 @@
         self._address, self._memory, self._most = split_address(address), memory, most
         self.count = 0
         self.port = 0
+        self._left = trio.Event()  # a connection has ended
 
     async def open(self) -> None:
         self._sock = trio.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
@@ -45,12 +46,19 @@
         self.port = self._sock.getsockname()[1]
 
     async def run(self, serve: Serve, make_room: Callable[[], bool]) -> None:
-        """Accepts until cancelled. `make_room` closes an idle connection; at the limit none comes in."""
+        """Accepts until cancelled. At the limit `make_room` closes an idle connection, if there is one.
+
+        The next is accepted as soon as that one is gone: a flood that says nothing must not make usual
+        clients wait.
+        """
         try:
             async with trio.open_nursery() as nursery:
                 while True:
-                    if self.count >= self._most and not make_room():
-                        await trio.sleep(PAUSE_S)
+                    if self.count >= self._most:
+                        self._left = trio.Event()
+                        make_room()
+                        with trio.move_on_after(PAUSE_S):
+                            await self._left.wait()
                         continue
                     try:
                         sock, _ = await self._sock.accept()
@@ -77,3 +85,4 @@
             await serve(connection)
         finally:
             self.count -= 1
+            self._left.set()
--- a/starlinghaven/transport/pool.py
+++ b/starlinghaven/transport/pool.py
@@ -17,6 +17,12 @@
 
 L = TypeVar("L", bound="Link")
 
+Place = tuple[str, str]
+"""A store's id and its address. An address may pass to another store: connections belong to the id."""
+
+SWEEP_S = 0.1  # seconds between two looks for connections that stopped in the middle of an answer
+STUCK_S = 0.3  # seconds without a byte in the middle of an answer, after which nothing more is awaited
+
 
 class DialFailed(Exception):
     """No connection came up: refused, out of time, or none to be had. Nothing ran."""
@@ -30,6 +36,17 @@
         self.streams = 0  # requests open on it
         self.idle_since = trio.current_time()
         self.retired = False  # takes no new requests, closes with the last one
+        self.amid = False  # an answer has begun to come in and is not whole yet
+        self._suspect = False
+
+    def stuck(self) -> bool:
+        """Whether an answer stopped in its middle: all that is open on the connection waits in vain.
+
+        It must look so twice in a row, since the process may have been halted between two readings.
+        """
+        quiet = trio.current_time() - self.connection.heard_at > STUCK_S
+        was, self._suspect = self._suspect, self.amid and self.connection.reading and quiet
+        return was and self._suspect
 
     async def feed(self, ring: object) -> int:
         raise NotImplementedError
@@ -61,7 +78,7 @@
 
     def __init__(
         self,
-        make: Callable[[str, Connection], L],
+        make: Callable[[Place, Connection], L],
         memory: Memory,
         *,
         dial_s: float,
@@ -71,8 +88,8 @@
     ) -> None:
         self._make, self._memory, self._dial_s = make, memory, dial_s
         self._streams, self._idle_s, self._most = streams, idle_s, most
-        self._links: dict[str, list[L]] = {}
-        self._dialing: dict[str, _Dial] = {}
+        self._links: dict[Place, list[L]] = {}
+        self._dialing: dict[Place, _Dial] = {}
         self._nursery: trio.Nursery | None = None
         self.count = 0  # sockets held, those being dialed too
 
@@ -80,14 +97,24 @@
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
             while True:
-                await trio.sleep(self._idle_s / 4)
-                self._close_idle()
+                await trio.sleep(SWEEP_S)
+                self._sweep()
 
-    def _close_idle(self) -> None:
+    def _sweep(self) -> None:
         before = trio.current_time() - self._idle_s * 0.8  # ahead of the other side's own close
         for links in self._links.values():
             for link in links:
-                if not link.streams and link.idle_since < before and not link.retired:
+                if link.stuck():
+                    log.warning("an answer stopped in its middle, its connection is closed")
+                    link.connection.abort()
+                elif not link.streams and link.idle_since < before and not link.retired:
+                    self.retire(link)
+
+    def forget(self, owner: str) -> None:
+        """A store has left: its connections take nothing new."""
+        for place, links in self._links.items():
+            if place[0] == owner:
+                for link in links:
                     self.retire(link)
 
     def retire(self, link: Link) -> None:
@@ -95,66 +122,66 @@
         if not link.streams:
             link.connection.finish()
 
-    def ready(self, address: str) -> L | None:
+    def ready(self, place: Place) -> L | None:
         """A connection with a free stream, the fullest first so that others can go idle."""
         fit = [
-            k for k in self._links.get(address, ())
+            k for k in self._links.get(place, ())
             if not k.retired and not k.connection.closed and k.streams < self._streams
         ]
         return max(fit, key=lambda k: k.streams, default=None)
 
-    async def link(self, address: str) -> L:
-        """A connection with a free stream; dialed if there is none. One dial at a time an address.
+    async def link(self, place: Place) -> L:
+        """A connection with a free stream; dialed if there is none. One dial at a time a store.
 
         The dial is the pool's own task: one caller who gives up must not end it for the others.
         """
         while True:
-            if found := self.ready(address):
+            if found := self.ready(place):
                 return found
-            dial = self._dialing.get(address)
+            dial = self._dialing.get(place)
             if dial is None:
                 assert self._nursery is not None
                 if self.count >= self._most:
                     raise DialFailed("all outbound connections are in use")
                 self.count += 1
-                dial = self._dialing[address] = _Dial()
-                self._nursery.start_soon(self._dial, address, dial)
+                dial = self._dialing[place] = _Dial()
+                self._nursery.start_soon(self._dial, place, dial)
             await dial.done.wait()
             if dial.failure:
-                raise DialFailed(f"{address}: {dial.failure}")
+                raise DialFailed(f"{place[1]}: {dial.failure}")
 
-    async def _dial(self, address: str, dial: _Dial) -> None:
+    async def _dial(self, place: Place, dial: _Dial) -> None:
         sock = trio.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         link: L | None = None
         try:
             with trio.move_on_after(self._dial_s):
-                await sock.connect(split_address(address))
-                link = self._make(address, Connection(sock, self._memory))
+                await sock.connect(split_address(place[1]))
+                link = self._make(place, Connection(sock, self._memory))
             if link is None:
                 dial.failure = f"not up within {self._dial_s} s"
         except (OSError, NoMemory, ValueError) as error:  # ValueError: a listed address that is none
             dial.failure = str(error) or type(error).__name__
         finally:
-            del self._dialing[address]
+            del self._dialing[place]
             if link is None:
                 self.count -= 1
                 sock.close()
             else:
-                self._links.setdefault(address, []).append(link)
+                self._links.setdefault(place, []).append(link)
             dial.done.set()
         if link is not None:
-            await self._serve(address, link)
+            await self._serve(place, link)
 
-    async def _serve(self, address: str, link: L) -> None:
+    async def _serve(self, place: Place, link: L) -> None:
         try:
             await link.connection.serve(link.feed)
         except Exception:  # one connection's trouble must not end the others
-            log.exception("the connection to %s failed", address)
+            log.exception("the connection to %s failed", place[1])
         finally:
             self.count -= 1
-            self._links[address].remove(link)
-            if not self._links[address]:
-                del self._links[address]
+            self._links[place].remove(link)
+            if not self._links[place]:
+                del self._links[place]
             link.retired = True
         await link.ended()
 
--- a/tests/steps.py
+++ b/tests/steps.py
@@ -55,6 +55,7 @@
         self.out: list[Attempt] = []
         self.given_up: list[Attempt] = []
         self.sent: list[Attempt] = []
+        self.forgotten: list[str] = []
 
     def send(self, attempt: Attempt) -> None:
         assert all(a.request != attempt.request for a in self.out), "two attempts at once"
@@ -66,6 +67,9 @@
         self.out.remove(attempt)
         self.given_up.append(attempt)
 
+    def forget(self, store: str) -> None:
+        self.forgotten.append(store)
+
 
 class Wire:
     """A connection that keeps what is written to it."""
@@ -84,6 +88,9 @@
 
     finish = abort
 
+    def shun(self, seconds: float) -> None:
+        self.abort()
+
 
 class Posts:
     """An engine's queue that only keeps what is posted."""
