Give clients half of the descriptors, so that usual ones fit beside bad ones

Seen while reading: of 256 descriptors 76 were for clients, but usual clients alone may hold 85 (a third); with an operator's signed front on the same limit the stores were left with 1. At fault: Daemon.__init__ ((sockets - 64) * 2 // 5) and Core (max(..., 1)). Now 128 for clients, 32 reserved, 96 for stores, and never less than an eighth for these. The test fails without the change.

--- a/starlinghaven/program/core.py
+++ b/starlinghaven/program/core.py
@@ -12,7 +12,8 @@
 from starlinghaven.transport.ring import Memory
 
 RINGS = 0.35  # part of the memory limit that rings may hold; the rest is the interpreter's and answers'
-RESERVE = 64  # descriptors for files, the change log, balancers' checks and what the system wants
+RESERVE = 32  # descriptors for files, the change log, balancers' checks and what the system wants
+STORES_LEAST = 8  # part of all descriptors that stores have at least, one in so many
 
 
 class Core:
@@ -31,7 +32,7 @@
             dial_s=cfg.dial_s,
             streams=cfg.streams,
             idle_s=cfg.idle_s,
-            most=max(cfg.sockets - RESERVE - front_sockets, 1),
+            most=max(cfg.sockets - RESERVE - front_sockets, cfg.sockets // STORES_LEAST),
         )
         self.log = changelog.ChangeLog(
             cfg.log_address, cfg.last, self.engine, self.memory, self.counters
--- a/starlinghaven/program/daemon.py
+++ b/starlinghaven/program/daemon.py
@@ -12,7 +12,7 @@
 import trio
 
 from starlinghaven.program import checks, config, logs, operator
-from starlinghaven.program.core import RESERVE, Core
+from starlinghaven.program.core import Core
 from starlinghaven.program.http import Exchange, Handle, HttpServer
 from starlinghaven.program.platform import PlatformFront
 from starlinghaven.program.signed import SignedFront
@@ -31,7 +31,7 @@
     """One edge proxy."""
 
     def __init__(self, cfg: config.Config, options: operator.Operator) -> None:
-        clients = (cfg.sockets - RESERVE) * 2 // 5  # they hold a third of all at most
+        clients = cfg.sockets // 2  # usual ones hold a third of all at most; the rest is for the others
         extra = options.signed.connections if options.signed else 0
         core = self.core = Core(cfg, clients + extra)
         self.engine, self.counters = core.engine, core.counters
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -10,8 +10,11 @@
 from typing import Any
 
 import pytest
+import trio
 
 from starlinghaven.program import config
+from starlinghaven.program.daemon import Daemon
+from starlinghaven.program.operator import Operator
 from tests.loopback import ROOT, STORES, Archive, configuration
 
 
@@ -51,3 +54,15 @@
     ended = subprocess.run(command, cwd=ROOT, env=env, capture_output=True, text=True, timeout=60)
     assert ended.returncode == 2
     assert ended.stderr.startswith("starlinghaven: ") and "Traceback" not in ended.stderr
+
+
+@pytest.mark.parametrize("sockets", [256, 1024])
+def test_places_for_usual_clients_and_stores_fit_into_the_descriptors(sockets: int) -> None:
+    """Usual clients hold a third of all at most, and others come on top of them."""
+
+    async def made() -> Daemon:
+        return Daemon(config.parse(raw() | {"limits": {"sockets": sockets}}, {}), Operator())
+
+    daemon = trio.run(made)
+    clients, stores = daemon._listeners[0]._most, daemon.core.caches.pool._most
+    assert clients >= sockets // 3 + 16 and stores >= 64 and clients + stores <= sockets - 24
