Count no late fills of a cache that is alone in being sick

Checked with a trace of attempts and beliefs: one cache of three (4c0f, bad 0.3 to 0.55) timed out alone, its peers stood at bad 0.0; at 3.8 s asked was 54 and timely 14, so half of all requests went without a fill. Ruled out: the link (0.38 full), both parents (they served the other caches' fills in time), SIGHUP. At fault: Router._filled counted that cache's late answers as late fills for all.

The new test in test_failures.py fails without the change.

--- a/starlinghaven/router.py
+++ b/starlinghaven/router.py
@@ -373,9 +373,13 @@
         return 1.0 if since >= REPORT_MS else min(1.0 - math.exp(-since / REPORT_TAU_MS), REPORT_STEP)
 
     def _filled(self, flight: _Flight, timely: float) -> None:
-        """Counts fills, and those in time; where no note tells which were fills, by the share of hits."""
+        """Counts fills, and those in time; where no note tells which were fills, by the share of hits.
+
+        Those of a cache that is worse than its peers tell of the cache: they must not stop others' fills.
+        """
         store = self.stores.get(flight.store)
-        if store and flight.source not in ("", flight.store):
+        alone = store and store.bad > 2 * WELL and min((p.bad for p in self.caches), default=1.0) <= WELL
+        if store and not alone and flight.source not in ("", flight.store):
             hits = store.hits if self.s.notes is i.Notes.NONE else 0.0
             fade = math.exp((self.filled_at - self.now) / FILLS_MS)
             self.asked, self.timely = self.asked * fade + 1 - hits, self.timely * fade + timely - hits
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -353,3 +353,19 @@
     assert second.store != first.store
     d.end(1, store=second.store)
     assert d.router.stores[first.store].bad > 0.0 and d.router.stores[second.store].bad == 0.0
+
+
+def test_late_fills_of_a_cache_that_is_alone_in_being_sick_stop_no_others() -> None:
+    """One slow cache made fills look late, and misses at its sound peers ended without one."""
+    d = Driver(notes=Notes.NONE)
+    for n in range(80):
+        got = d.get(d.ask(f"{n:x}"))
+        if got.store != "cache-0":
+            d.end(store=got.store)
+    d.now += 3000.0
+    d.say(Timer(0))
+    assert d.router.stores["cache-0"].bad > module.SICK
+    for n in range(40):
+        got = d.get(d.ask(f"f{n:x}"))
+        assert got.source != got.store, "fills go on"
+        d.end(store=got.store)
