Add the operators' console, stores excluded by hand, and upgrades on a passed socket

Built: the listener takes over the descriptor in LB_PASSED_SOCKET; a console with places of its own; Hand, an event of the engine, by which an excluded store counts as draining whatever the list says; what is excluded and which process is the newest stand in $TMPDIR; an old process that is told to stop while a newer one serves accepts nothing more and closes connections as they fall idle.

--- a/starlinghaven/program/caches.py
+++ b/starlinghaven/program/caches.py
@@ -180,6 +180,7 @@
         link.out[ask.id] = a, trio.current_time()
         link.begin()
         a.written = True
+        self._counters.add("written")
         link.connection.write(caches.get(order))
 
     def drop(self, attempt: Attempt) -> None:
--- a/starlinghaven/program/config.py
+++ b/starlinghaven/program/config.py
@@ -35,6 +35,9 @@
     dial_s: float
     streams: int
     idle_s: float
+    console: str = ""  # address of the operators' console
+    passed: int | None = None  # descriptor of the clients' listening socket, where the platform holds it
+    folder: str = ""  # what may be written, shared with the process that takes this one's place
 
 
 def load(env: Mapping[str, str]) -> Config:
@@ -53,7 +56,10 @@
 def parse(raw: dict[str, Any], env: Mapping[str, str]) -> Config:
     settings, limits = raw["settings"], raw.get("limits", {})
     listen, log_address = env.get("LB_LISTEN") or raw["listen"], raw.get("changelog") or ""
-    for address in filter(None, (listen, log_address)):
+    console, passed = env.get("LB_CONSOLE") or raw.get("console") or "", env.get("LB_PASSED_SOCKET") or ""
+    if passed and not passed.isdecimal():
+        raise ValueError(f"LB_PASSED_SOCKET: not a descriptor: {passed!r}")
+    for address in filter(None, (listen, log_address, console)):
         split_address(address)
     known = raw.get("known") or {}
     policy = settings.get("PolicyLimits", {})
@@ -71,4 +77,7 @@
         dial_s=policy.get("DialTimeoutMs", 400.0) / 1000,
         streams=policy.get("StreamsPerConn", 100),
         idle_s=policy.get("IdleCloseMs", 15_000.0) / 1000,
+        console=console,
+        passed=int(passed) if passed else None,
+        folder=env.get("TMPDIR", ""),
     )
--- /dev/null
+++ b/starlinghaven/program/console.py
@@ -0,0 +1,102 @@
+"""The operators' door: readiness, figures, and stores taken out of use by hand."""
+
+from __future__ import annotations
+
+import logging
+import time
+from collections.abc import Iterator
+
+import trio
+
+from starlinghaven.program.handover import Handover
+from starlinghaven.program.peers import Peers
+from starlinghaven.protocol import ProtocolError, console
+from starlinghaven.routing.engine import Engine
+from starlinghaven.routing.types import Counters, Hand
+from starlinghaven.transport.connection import Connection
+from starlinghaven.transport.listener import Listener
+from starlinghaven.transport.ring import Ring
+
+log = logging.getLogger(__name__)
+
+PLACES = 16  # connections at once; some callers never finish a call
+CALL_S = 5.0  # seconds that a caller may take for its call
+
+
+class _Caller:
+    """One connection: one call and its answer."""
+
+    def __init__(self, owner: Console, connection: Connection) -> None:
+        self.connection, self._owner = connection, owner
+        self.busy = False
+        self.ends_at = time.monotonic() + CALL_S
+
+    amid = False
+
+    async def feed(self, ring: Ring) -> int:
+        try:
+            call = console.read(ring)
+        except ProtocolError as error:
+            self._answer(console.no(str(error)))
+            return 1
+        if call is not None and not self.busy:
+            self.busy = True
+            self._answer(await self._owner.answer(call))
+            self.busy = False
+        return 1
+
+    def _answer(self, text: bytes) -> None:
+        self.connection.write(text)
+        self.connection.finish()
+
+    async def leave(self) -> None:
+        """Nothing is open between calls."""
+
+
+class Console:
+    """Answers operators; what changes the fleet goes through the engine's queue like all else."""
+
+    def __init__(
+        self, listener: Listener, engine: Engine, classes: tuple[str, ...], counters: Counters,
+        handover: Handover,
+    ) -> None:  # fmt: skip
+        self._engine, self._classes, self._counters = engine, classes, counters
+        self._handover = handover
+        self.peers = Peers(listener, lambda connection: _Caller(self, connection))
+
+    async def answer(self, call: console.Call) -> bytes:
+        match call.verb:
+            case "readyz":
+                ready = self._engine.state == "ready"
+                return console.yes("ready") if ready else console.no(self._engine.state)
+            case "telemetry":
+                return console.figures(self._figures())
+        out = call.verb == "exclude"
+        hand = Hand(call.store, out, 1000.0 * time.time())
+        if not await self._told(hand):
+            return console.no(f"{call.store} is not listed")
+        self._handover.keep(hand)  # before the yes: a successor must know of it from its first moment
+        log.info("%s %s by hand", call.store, "excluded" if out else "included")
+        return console.yes(call.store)
+
+    async def _told(self, hand: Hand) -> bool:
+        heard, known = trio.Event(), False
+
+        def said(yes: bool) -> None:
+            nonlocal known
+            known = yes
+            heard.set()
+
+        hand.answer = said
+        await self._engine.post(hand)
+        await heard.wait()
+        return known
+
+    def _figures(self) -> Iterator[tuple[str, int]]:
+        for n, name in enumerate(self._classes):
+            for outcome in ("served", "refused", "failed"):
+                yield f"requests.{name}.{outcome}", self._counters[f"class{n}_{outcome}"]
+        yield "attempts", self._counters["written"]
+        yield "in_flight", self._engine.open_requests
+        yield "pop_caches_known", len(self._engine.fleet_ids)
+        yield "pop_caches_excluded", self._engine.avoided
--- a/starlinghaven/program/daemon.py
+++ b/starlinghaven/program/daemon.py
@@ -12,8 +12,11 @@
 import trio
 
 from starlinghaven.program import checks, config, logs, operator
+from starlinghaven.program.console import PLACES, Console
 from starlinghaven.program.core import Core
+from starlinghaven.program.handover import Handover
 from starlinghaven.program.http import Exchange, Handle, HttpServer
+from starlinghaven.program.peers import Peers
 from starlinghaven.program.platform import PlatformFront
 from starlinghaven.program.signed import SignedFront
 from starlinghaven.protocol import platform, uri_signing
@@ -35,7 +38,8 @@
         extra = options.signed.connections if options.signed else 0
         core = self.core = Core(cfg, clients + extra)
         self.engine, self.counters = core.engine, core.counters
-        self._listeners = [Listener(cfg.listen, core.memory, clients)]
+        self._listeners = [Listener(cfg.listen, core.memory, clients, cfg.passed)]
+        self.handover = Handover(cfg.folder)
         self.front = PlatformFront(
             core.engine, cfg.settings, cfg.classes, self.state, self._listeners[0], core.counters
         )
@@ -53,6 +57,18 @@
             self._listeners.append(Listener(options.agent, core.memory, CHECKS))
             self.agent = checks.AgentCheck(self._listeners[-1], core.engine)
 
+        self.console: Console | None = None
+        if cfg.console:
+            self._listeners.append(Listener(cfg.console, core.memory, PLACES))
+            self.console = Console(
+                self._listeners[-1], core.engine, cfg.classes, core.counters, self.handover
+            )
+
+    @property
+    def _clients(self) -> list[Peers]:
+        """Connections of all fronts; operators' ones are not among them."""
+        return [self.front.peers, *(server.peers for server in self.servers)]
+
     def _serve_http(self, listen: str, most: int, handle: Handle) -> None:
         self._listeners.append(Listener(listen, self.core.memory, most))
         self.servers.append(HttpServer(self._listeners[-1], handle, self.counters))
@@ -72,12 +88,15 @@
                 await self.core.start(nursery)
                 for listener in self._listeners:
                     await listener.open()
-                nursery.start_soon(self.front.peers.run)
-                for server in self.servers:
-                    nursery.start_soon(server.peers.run)
+                nursery.start_soon(self.handover.run, self.engine)
+                for peers in self._clients:
+                    nursery.start_soon(peers.run)
+                if self.console:
+                    nursery.start_soon(self.console.peers.run)
                 if self.agent:
                     nursery.start_soon(self.agent.run)
                 self.engine.ready = True
+                self.handover.serving()
                 gc.collect()
                 gc.freeze()  # what lives as long as the program is not looked at again
                 log.info("ready name=%s listen=%s events=%d", cfg.name, cfg.listen, cfg.last)
@@ -106,14 +125,25 @@
             self.counters.add("keys_reloaded" if self.signed.gate.reload() else "keys_kept")
 
     async def _drain(self) -> None:
-        """New requests go on coming for a while after SIGTERM: they are taken and answered too."""
+        """New requests go on coming for a while after SIGTERM: they are taken and answered too.
+
+        Where a successor accepts on the same socket, it gets what is new: clients move to it as soon as
+        nothing of theirs is open here.
+        """
         log.info("draining open=%d", self.engine.open_requests)
         self.engine.draining = True
-        await trio.sleep(WINDOW_S)
+        with trio.move_on_after(WINDOW_S):
+            if self.core.cfg.passed is not None and self.handover.successor():
+                log.info("leaving the clients to a successor")
+                async with trio.open_nursery() as nursery:
+                    for peers in self._clients:
+                        nursery.start_soon(peers.retire)
+            else:
+                await trio.sleep_forever()
         self.front.closed = True  # one that goes on asking must not keep the program from its end
         await self.engine.quiet()
         with trio.move_on_after(FLUSH_S):
-            while self.front.peers.unsent or any(s.peers.unsent for s in self.servers):
+            while any(peers.unsent for peers in self._clients):
                 await trio.sleep(0.005)
         self.engine.ready = False
 
--- /dev/null
+++ b/starlinghaven/program/handover.py
@@ -0,0 +1,109 @@
+"""What passes from a process to the one that takes its place, by files in $TMPDIR."""
+
+from __future__ import annotations
+
+import contextlib
+import json
+import logging
+import os
+import tempfile
+import time
+from pathlib import Path
+
+import trio
+
+from starlinghaven.routing.engine import Engine
+from starlinghaven.routing.types import Hand
+
+log = logging.getLogger(__name__)
+
+LOOK_S = 0.1  # seconds between two looks for what another process was told by hand
+KEPT_S = 120.0  # seconds for which a store's return is remembered: it is warm long before
+MOST = 4096  # stores remembered at most
+
+
+class Handover:
+    """The newest process's number, and the stores excluded by hand. Without a folder, nothing is kept."""
+
+    def __init__(self, folder: str) -> None:
+        self._folder = Path(folder) if folder else None
+        self._seen: dict[str, Hand] = {}
+        self._stamp: tuple[int, int] | None = None
+
+    def _path(self, name: str) -> Path | None:
+        return self._folder / f"starlinghaven-{name}" if self._folder else None
+
+    def _write(self, name: str, text: str) -> None:
+        """Puts a file in place whole: the other process must never read half of it."""
+        if (path := self._path(name)) is None:
+            return
+        try:
+            number, draft = tempfile.mkstemp(dir=path.parent)
+            with open(number, "w") as file:
+                file.write(text)
+            os.replace(draft, path)
+        except OSError as error:  # a full or missing folder must not end the program
+            log.error("nothing can be handed over: %s", error)
+
+    # -- which process is the newest --------------------------------------------------------------
+
+    def serving(self) -> None:
+        """This process is ready: an older one may leave the clients to it."""
+        self._write("serving", str(os.getpid()))
+
+    def successor(self) -> bool:
+        """Whether a newer process is there to take what comes."""
+        if (path := self._path("serving")) is None:
+            return False
+        try:
+            number = int(path.read_text())
+            if number == os.getpid():
+                return False
+            os.kill(number, 0)
+            return True
+        except (OSError, ValueError):
+            return False
+
+    # -- stores excluded by hand ------------------------------------------------------------------
+
+    def _read(self) -> dict[str, Hand]:
+        path = self._path("hand")
+        try:
+            raw = json.loads(path.read_text()) if path else {}
+            return {store: Hand(store, bool(out), float(at)) for store, (out, at) in raw.items()}
+        except FileNotFoundError:
+            return {}
+        except (OSError, ValueError, TypeError, AttributeError) as error:
+            log.error("what was excluded by hand can't be read: %s", error)
+            return {}
+
+    def keep(self, hand: Hand) -> None:
+        """Remembers a call for the other process and for the next one."""
+        old = 1000.0 * (time.time() - KEPT_S)
+        hands = {s: h for s, h in self._read().items() if h.out or h.unix_ms > old}
+        hands[hand.store] = hand
+        recent = sorted(hands.values(), key=lambda h: h.unix_ms)[-MOST:]
+        self._seen[hand.store] = hand
+        self._write("hand", json.dumps({h.store: (h.out, h.unix_ms) for h in recent}))
+
+    def news(self) -> list[Hand]:
+        """The calls that another process was told since the last look."""
+        path = self._path("hand")
+        stamp = None
+        with contextlib.suppress(OSError):
+            if path:
+                found = path.stat()
+                stamp = (found.st_mtime_ns, found.st_ino)
+        if stamp is None or stamp == self._stamp:
+            return []
+        self._stamp = stamp
+        before, self._seen = self._seen, self._read()
+        return [
+            h for s, h in self._seen.items() if s not in before or before[s].unix_ms < h.unix_ms
+        ]
+
+    async def run(self, engine: Engine) -> None:
+        while True:
+            for hand in self.news():
+                await engine.post(hand)
+            await trio.sleep(LOOK_S)
--- a/starlinghaven/program/http.py
+++ b/starlinghaven/program/http.py
@@ -156,6 +156,10 @@
     def busy(self) -> bool:
         return self.exchange is not None
 
+    @property
+    def amid(self) -> bool:
+        return self._h11.their_state is h11.SEND_BODY or bool(self._h11.trailing_data[0])
+
     @property
     def ends_at(self) -> float:
         return self.since + IDLE_S
--- a/starlinghaven/program/peers.py
+++ b/starlinghaven/program/peers.py
@@ -15,6 +15,7 @@
 
 log = logging.getLogger(__name__)
 
+RETIRE_S = 0.005  # ... and two looks for connections to close when a successor takes the clients
 SWEEP_S = 0.25  # seconds between two looks for connections whose time is over
 
 
@@ -32,6 +33,10 @@
     def busy(self) -> bool:
         """Whether an answer is owed on it."""
 
+    @property
+    def amid(self) -> bool:
+        """Whether a message has begun to come in."""
+
     @property
     def ends_at(self) -> float:
         """When, on time.monotonic(), it is closed if nothing is owed on it until then."""
@@ -66,6 +71,18 @@
     def unsent(self) -> int:
         return sum(p.connection.unsent for p in self._peers)
 
+    async def retire(self) -> None:
+        """Accepts nothing more, closes each connection when nothing is open on it, and waits for the last.
+
+        Guards requests on their way: one that has been read or waits to be read keeps its connection.
+        """
+        self._listener.stop()
+        while self._peers:
+            for peer in self._idle():
+                if not peer.amid and not peer.connection.pending:
+                    peer.connection.finish()
+            await trio.sleep(RETIRE_S)
+
     def _idle(self) -> list[Peer]:
         return [p for p in self._peers if not p.busy and not p.connection.unsent]
 
--- a/starlinghaven/program/platform.py
+++ b/starlinghaven/program/platform.py
@@ -56,7 +56,7 @@
         self._bad = 0  # calls that could not be used
         self.open: dict[int, _Ticket] = {}
         self.ends_at = time.monotonic() + WHOLE_S
-        self._amid = False  # a message has begun
+        self.amid = False  # a message has begun
         self._fresh: list[Taken] = []  # taken from what came in just now, not told to the engine yet
 
     async def feed(self, ring: Ring) -> int:
@@ -76,9 +76,9 @@
         for taken in fresh:
             await self._front.engine.post(taken)
         amid = self._reader.amid or ring.size > 0
-        if whole or amid and not self._amid:
+        if whole or amid and not self.amid:
             self.ends_at = time.monotonic() + (WHOLE_S if amid else IDLE_S)
-        self._amid = amid
+        self.amid = amid
         return self._reader.wanted
 
     def _fail(self, tag: int, why: object) -> None:
@@ -181,7 +181,7 @@
         """Writes a request's final answer, unless its client has left."""
         if self.open.pop(tag, None):
             self.connection.write(text)
-            self.ends_at = max(self.ends_at, time.monotonic() + (WHOLE_S if self._amid else IDLE_S))
+            self.ends_at = max(self.ends_at, time.monotonic() + (WHOLE_S if self.amid else IDLE_S))
             if len(self._used) >= TAGS_APART and not self.open:
                 self.connection.finish()
 
--- a/starlinghaven/router.py
+++ b/starlinghaven/router.py
@@ -306,6 +306,10 @@
                 fit.append(s)
         return fit or stores
 
+    def resting(self) -> set[str]:
+        """Names of the stores that are stepped over just now."""
+        return {name for name, s in self.stores.items() if s.until > self.now}
+
     def _overdue(self) -> None:
         """Blames an attempt at its aim, long before its time-out.
 
--- a/starlinghaven/routing/engine.py
+++ b/starlinghaven/routing/engine.py
@@ -22,6 +22,7 @@
     Ended,
     Event,
     FleetNews,
+    Hand,
     Left,
     PurgeNews,
     Result,
@@ -73,6 +74,8 @@
         self._ids: set[str] = set()  # of the open requests
         self._attempts: dict[tuple[int, int], Attempt] = {}
         self._stores: dict[str, Store] = {}
+        self._excluded: set[str] = set()  # by hand; they stay so while the list says what it likes
+        self._back: dict[str, float] = {}  # those put back into use, and when: they may be cold
         self._due: list[_Due] = []
         self._order = itertools.count()
         self._next = itertools.count(1)
@@ -100,6 +103,15 @@
         """Ids of all stores that are listed and not gone."""
         return set(self._stores)
 
+    @property
+    def avoided(self) -> int:
+        """Listed stores that get nothing new: by hand, by the list, or by choice."""
+        resting = self._router.resting()
+        return sum(
+            s.id in self._excluded or s.phase is not i.Phase.UP or s.id in resting
+            for s in self._stores.values()
+        )
+
     @property
     def state(self) -> str:
         """ready, draining or stopped: what balancers are told."""
@@ -154,6 +166,8 @@
                 self._left(event.ticket)
             case FleetNews():
                 self._listed(event)
+            case Hand():
+                self._by_hand(event)
             case PurgeNews():
                 self.counters.add("purges")
                 self._decide(i.Purge(event.group, self.clock.age(event.unix_ms), event.key))
@@ -179,11 +193,11 @@
         self.counters.add("taken")
         if len(self._open) >= MOST_OPEN:  # guards memory; the Router refuses long before
             wait = self._settings.most_wait_ms if self._settings.advises_wait else 0.0
-            self._tell(event.ticket, Answer(Result.REFUSED, wait_ms=wait))
+            self._tell(event, Answer(Result.REFUSED, wait_ms=wait))
             return
         if ask.id in self._ids:  # guards an open request: stores know it by its id alone
             self.counters.add("ids_again")
-            self._tell(event.ticket, Answer(Result.FAILED))
+            self._tell(event, Answer(Result.FAILED))
             return
         self._ids.add(ask.id)
         number = next(self._next)
@@ -223,14 +237,16 @@
         return request
 
     def _finish(self, number: int, answer: Answer) -> None:
-        self._tell(self._close(number).ticket, answer)
+        self._tell(self._close(number), answer)
 
-    def _tell(self, ticket: Ticket, answer: Answer) -> None:
+    def _tell(self, request: Taken | _Open, answer: Answer) -> None:
         self.counters.add(f"answered_{answer.result.name.lower()}")
+        outcome = Result.SERVED if answer.result is Result.UNCHANGED else answer.result
+        self.counters.add(f"class{request.ask.cls}_{outcome.name.lower()}")
         unserved = answer.result in (Result.REFUSED, Result.FAILED)
         self._unserved = self._unserved_now() + UNSERVED_STEP * (unserved - self._unserved_now())
         self._unserved_at = self.clock.now()
-        ticket.answer(answer)
+        request.ticket.answer(answer)
 
     # -- attempts ---------------------------------------------------------------------------------
 
@@ -348,6 +364,7 @@
         if self.caches:
             for gone in before - set(self._stores):
                 self.caches.forget(gone)
+        self._back = {s: at for s, at in self._back.items() if s in self._stores}
         self.counters.add("lists")
         self._decide(i.Members(news.kind, tuple(members)))
 
@@ -371,5 +388,26 @@
         return [*changed, self._member(s)]
 
     def _member(self, s: Store) -> i.Member:
-        started = self.clock.from_unix(s.started_unix_ms)
-        return i.Member(s.id, s.zone, s.kind, s.cell, s.phase, s.weight, started)
+        started = self.clock.from_unix(max(s.started_unix_ms, self._back.get(s.id, 0.0)))
+        hidden = s.id in self._excluded and s.phase is i.Phase.UP
+        phase = i.Phase.DRAINING if hidden else s.phase
+        return i.Member(s.id, s.zone, s.kind, s.cell, phase, s.weight, started)
+
+    def _by_hand(self, hand: Hand) -> None:
+        """Guards what operators work on: nothing new goes to it, whatever the list says in between.
+
+        Put back, it counts as started just now: it may have been restarted, and nobody tells of that.
+        """
+        was, store = hand.store in self._excluded, self._stores.get(hand.store)
+        known = store is not None or was
+        if known or hand.answer is None:  # another process has heard of it and said yes
+            if hand.out:
+                self._excluded.add(hand.store)
+            else:
+                self._excluded.discard(hand.store)
+                if was and store:
+                    self._back[hand.store] = hand.unix_ms
+            if store and was != hand.out:
+                self._decide(i.Members(i.ListKind.PARTIAL, (self._member(store),)))
+        if hand.answer is not None:
+            hand.answer(known)
--- a/starlinghaven/routing/types.py
+++ b/starlinghaven/routing/types.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from enum import Enum, auto
 from typing import Protocol
@@ -142,7 +142,17 @@
     unix_ms: float
 
 
-Event = Taken | Left | Ended | FleetNews | PurgeNews
+@dataclass(slots=True)
+class Hand:
+    """An operator takes a store out of use, or puts it back. `answer` hears whether there is such a store."""
+
+    store: str
+    out: bool
+    unix_ms: float
+    answer: Callable[[bool], None] | None = field(default=None, compare=False)
+
+
+Event = Taken | Left | Ended | FleetNews | PurgeNews | Hand
 
 
 class Counters:
--- a/starlinghaven/transport/connection.py
+++ b/starlinghaven/transport/connection.py
@@ -3,7 +3,10 @@
 from __future__ import annotations
 
 import contextlib
+import fcntl
 import socket
+import struct
+import termios
 from collections.abc import Awaitable, Callable
 
 import trio
@@ -44,6 +47,16 @@
     def unsent(self) -> int:
         return self._out.size
 
+    @property
+    def pending(self) -> bool:
+        """Whether bytes have come in that were not read yet."""
+        if self.closed:
+            return False
+        with contextlib.suppress(OSError):
+            held = fcntl.ioctl(self._sock.fileno(), termios.FIONREAD, bytes(4))
+            return bool(struct.unpack("i", held)[0])
+        return False
+
     def write(self, data: bytes) -> None:
         """Queues bytes in order; a peer that leaves far too much unread is cut off."""
         if self.closed or self._ending:
--- a/starlinghaven/transport/listener.py
+++ b/starlinghaven/transport/listener.py
@@ -32,13 +32,19 @@
 class Listener:
     """Owns the listening socket and counts the connections that came through it."""
 
-    def __init__(self, address: str, memory: Memory, most: int) -> None:
+    def __init__(self, address: str, memory: Memory, most: int, passed: int | None = None) -> None:
         self._address, self._memory, self._most = split_address(address), memory, most
+        self._passed = passed  # descriptor of a socket that listens already and is another's
+        self._accepting = trio.CancelScope()
         self.count = 0
         self.port = 0
         self._left = trio.Event()  # a connection has ended
 
     async def open(self) -> None:
+        if self._passed is not None:
+            self._sock = trio.socket.from_stdlib_socket(socket.socket(fileno=self._passed))
+            self.port = self._sock.getsockname()[1]
+            return
         self._sock = trio.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         await self._sock.bind(self._address)
@@ -51,26 +57,34 @@
         The next is accepted as soon as that one is gone: a flood that says nothing must not make usual
         clients wait.
         """
+        async with trio.open_nursery() as nursery:
+            with self._accepting:
+                await self._accept(nursery, serve, make_room)
+
+    def stop(self) -> None:
+        """Accepts nothing more; what was accepted goes on."""
+        self._accepting.cancel()
+
+    async def _accept(self, nursery: trio.Nursery, serve: Serve, make_room: Callable[[], bool]) -> None:
         try:
-            async with trio.open_nursery() as nursery:
-                while True:
-                    if self.count >= self._most:
-                        self._left = trio.Event()
-                        make_room()
-                        with trio.move_on_after(PAUSE_S):
-                            await self._left.wait()
-                        continue
-                    try:
-                        sock, _ = await self._sock.accept()
-                    except OSError as error:
-                        if error.errno not in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM,
-                                               errno.ECONNABORTED):
-                            raise
-                        log.warning("accept failed: %s", error)
-                        await trio.sleep(PAUSE_S)
-                        continue
-                    self.count += 1
-                    nursery.start_soon(self._one, sock, serve)
+            while True:
+                if self.count >= self._most:
+                    self._left = trio.Event()
+                    make_room()
+                    with trio.move_on_after(PAUSE_S):
+                        await self._left.wait()
+                    continue
+                try:
+                    sock, _ = await self._sock.accept()
+                except OSError as error:
+                    if error.errno not in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM,
+                                           errno.ECONNABORTED):
+                        raise
+                    log.warning("accept failed: %s", error)
+                    await trio.sleep(PAUSE_S)
+                    continue
+                self.count += 1
+                nursery.start_soon(self._one, sock, serve)
         finally:
             self._sock.close()
 
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -189,6 +189,14 @@
         return answer[1] if answer else b""
 
 
+async def operator(port: int, line: str) -> list[str]:
+    """What the console answers to one call, line by line, until it closes."""
+    stream = await trio.open_tcp_stream("127.0.0.1", port)
+    async with stream:
+        await stream.send_all(line.encode() + b"\n")
+        return b"".join([data async for data in stream]).decode().splitlines()
+
+
 class Program:
     """The daemon as a process, with its archive."""
 
@@ -226,13 +234,23 @@
 
 
 @asynccontextmanager
-async def program(folder: Path, changelog: str = "", **env: str) -> AsyncIterator[Program]:
-    """The running program before a stand-in archive; killed in the end if it has not ended."""
-    archive, port = Archive(), free_port()
+async def program(
+    folder: Path, changelog: str = "", passed: socket.socket | None = None, beside: Program | None = None,
+    **env: str,
+) -> AsyncIterator[Program]:
+    """The running program before a stand-in archive; killed in the end if it has not ended.
+
+    `passed` is the clients' listening socket, `beside` a process that is there already.
+    """
+    archive = beside.archive if beside else Archive()
+    port = passed.getsockname()[1] if passed else free_port()
+    if passed:
+        env["LB_PASSED_SOCKET"] = str(passed.fileno())
     async with trio.open_nursery() as nursery:
-        await nursery.start(archive.run)
+        if not beside:
+            await nursery.start(archive.run)
         (folder / "config.json").write_text(json.dumps(configuration(archive, port, changelog)))
-        log = folder / "log"
+        log = folder / ("log2" if beside else "log")
         with log.open("w") as sink:
             process = await trio.lowlevel.open_process(
                 [sys.executable, "-m", "starlinghaven"],
@@ -240,6 +258,7 @@
                 env=os.environ | {"LB_CONFIG": str(folder / "config.json")} | env,
                 stderr=sink,
                 stdin=subprocess.DEVNULL,
+                pass_fds=(passed.fileno(),) if passed else (),
             )
         running = Program(archive, process, port, log)
         try:
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -137,7 +137,7 @@
     async with program(tmp_path) as p:
         await (await p.client()).call()
         p.process.send_signal(signal.SIGUSR1)
-        await p.logged("answered_served=1 connections=1 ended_ok=1")
+        await p.logged("answered_served=1 class0_served=1 connections=1 ended_ok=1")
 
 
 @in_trio
