Serve copies of the proxy's own where its link sends them in time

The link 0.38 full, no store sick. Built: the engine keeps bytes and models the link (routing/copies.py), the Router decides (Router._own): fresh and sent within 0.7 of the aim, else only in place of a refusal. Purges drop copies at once.

--- a/starlinghaven/interface.py
+++ b/starlinghaven/interface.py
@@ -158,6 +158,14 @@
     entries: tuple[Member, ...] = ()
 
 
+@dataclass(frozen=True, slots=True)
+class Own:
+    """A copy of the proxy's own: its age, and how long sending it would take now."""
+
+    age_ms: float
+    ready_ms: float
+
+
 @dataclass(frozen=True, slots=True)
 class Request:
     """A client's request."""
@@ -170,6 +178,7 @@
     part: int = 0
     size_kb: float = 0.0
     again: bool = False
+    own: Own | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -254,6 +263,13 @@
     renew: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class Serve:
+    """Final answer: the proxy's own copy."""
+
+    request: int
+
+
 @dataclass(frozen=True, slots=True)
 class Refuse:
     """Final answer: not done, trying again is harmless."""
@@ -290,4 +306,4 @@
     """Subscribe to the list of stores, where it has to be asked for."""
 
 
-Action = Send | Get | Refuse | Fail | Cancel | SetTimer | Watch
+Action = Send | Get | Serve | Refuse | Fail | Cancel | SetTimer | Watch
--- a/starlinghaven/program/caches.py
+++ b/starlinghaven/program/caches.py
@@ -71,6 +71,7 @@
                 said.body,
                 unchanged=said.word == "still_good",
                 tag=said.rev,
+                since_ms=said.since_ms,
                 note=said.note,
                 waited_ms=said.filled_ms,
                 report=said.load,
--- a/starlinghaven/program/config.py
+++ b/starlinghaven/program/config.py
@@ -35,6 +35,8 @@
     dial_s: float
     streams: int
     idle_s: float
+    flow: float = 0.0  # bytes a second of one transfer of an own copy, and of all together
+    link: float = 0.0
     console: str = ""  # address of the operators' console
     passed: int | None = None  # descriptor of the clients' listening socket, where the platform holds it
     folder: str = ""  # what may be written, shared with the process that takes this one's place
@@ -77,6 +79,8 @@
         dial_s=policy.get("DialTimeoutMs", 400.0) / 1000,
         streams=policy.get("StreamsPerConn", 100),
         idle_s=policy.get("IdleCloseMs", 15_000.0) / 1000,
+        flow=float(raw.get("flow_bytes_per_s") or 0.0),
+        link=float(raw.get("link_bytes_per_s") or 0.0),
         console=console,
         passed=int(passed) if passed else None,
         folder=env.get("TMPDIR", ""),
--- a/starlinghaven/program/core.py
+++ b/starlinghaven/program/core.py
@@ -7,11 +7,13 @@
 from starlinghaven.program import changelog, config
 from starlinghaven.program.caches import Caches
 from starlinghaven.routing.clock import Clock
+from starlinghaven.routing.copies import Copies
 from starlinghaven.routing.engine import Engine
 from starlinghaven.routing.types import Counters
 from starlinghaven.transport.ring import Memory
 
 RINGS = 0.35  # part of the memory limit that rings may hold; the rest is the interpreter's and answers'
+COPIES = 0.125  # part of the memory limit for copies of its own
 RESERVE = 32  # descriptors for files, the change log, balancers' checks and what the system wants
 STORES_LEAST = 8  # part of all descriptors that stores have at least, one in so many
 
@@ -23,7 +25,10 @@
         self.cfg = cfg
         self.counters = Counters()
         self.memory = Memory(int(cfg.memory_bytes * RINGS))
-        self.engine = Engine(cfg.settings, cfg.seed, Clock(), self.counters)
+        clock, copies = Clock(), None
+        if cfg.flow > 0 and cfg.link > 0:  # else the platform allows no copies of its own
+            copies = Copies(int(cfg.memory_bytes * COPIES), cfg.flow, cfg.link, clock)
+        self.engine = Engine(cfg.settings, cfg.seed, clock, self.counters, copies)
         self.caches = Caches(
             self.engine,
             cfg.classes,
--- a/starlinghaven/program/signed.py
+++ b/starlinghaven/program/signed.py
@@ -161,6 +161,7 @@
             key=key,
             part=int(part) if part else None,
             group=int(family or 0),
+            purgeable=bool(family),
             idem=idem if needs_key else "",
             have=have[1] if have else "",
             body=request.body if write else b"",
--- a/starlinghaven/protocol/platform.py
+++ b/starlinghaven/protocol/platform.py
@@ -32,7 +32,7 @@
     dedupe: str
     row: str
     block: int | None
-    family: int
+    family: int | None
     size_kb: float
     cached: str
     again: bool
@@ -111,7 +111,7 @@
         dedupe=_matching(tag, fields, "dedupe", _TOKEN),
         row=_matching(tag, fields, "row", _HEX16),
         block=int(block) if block else None,
-        family=int(family or 0),
+        family=int(family) if family else None,
         size_kb=size,
         cached=_matching(tag, fields, "cached", _TOKEN),
         again=fields.get("rep", "0") not in ("", "0"),
--- a/starlinghaven/router.py
+++ b/starlinghaven/router.py
@@ -35,6 +35,7 @@
 CALM = 1.0  # load up to which sending runs at full pace, so that answers tell their sending time
 HEADROOM = 0.75  # part of the aim that the predicted sending time may fill
 LEAST_LIMIT, MOST_LIMIT = 1.2, 4.0  # load from which a request is refused, at least and at most
+OWN_SHARE = 0.7  # part of the aim that sending an own copy may take: other transfers share that link
 AGAIN = 0.45  # part of that limit for a client's repeat: it has lost most of its time already
 BUSY = 0.8  # utilisation from which all requests held count as load, below in proportion
 REPORT_MS = 6_000.0  # ms that a load report is believed
@@ -542,8 +543,24 @@
         job.tier = self._tier(r.key)
         if r.size_kb and self.s.pace_kb_per_s:
             self._size(r.cls, self._work(job))
+        if self._own(job, OWN_SHARE * (job.c.target_ms + job.c.stretch * self._work(job))):
+            return self._serve(job, out)
         self._attempt(job, out)
 
+    def _own(self, job: _Job, within_ms: float, grace_ms: float = 0.0) -> bool:
+        """Whether a copy of the proxy's own will do: it spares the caches and their links the work.
+
+        It is sent on a link of few transfers, and they queue: what would come late goes to a cache.
+        """
+        own, fresh = job.r.own, job.c.fresh_ms
+        if own is None or job.c.uncached or job.open:
+            return False
+        return own.ready_ms <= within_ms and (not fresh or own.age_ms <= fresh + grace_ms)
+
+    def _serve(self, job: _Job, out: list[i.Action]) -> None:
+        del self.jobs[job.r.id]
+        out.append(i.Serve(job.r.id))
+
     def _size(self, cls: int, ms: float) -> None:
         mean = self.sending[cls]
         self.sending[cls] = mean + MEAN_STEP * (ms - mean) if mean else (ms + self._mean(cls)) / 2
@@ -725,7 +742,9 @@
         self._attempt(job, out)
 
     def _give_up(self, job: _Job, out: list[i.Action]) -> None:
-        """The final answer of a request that is not served, at once."""
+        """The final answer of what no store serves, at once: a copy of its own will do, even an old one."""
+        if job.r.id in self.jobs and self._own(job, job.deadline - self.now, job.c.grace_ms):
+            return self._serve(job, out)
         self.jobs.pop(job.r.id, None)
         ran = job.ran is not None or job.open > 0
         if not ran or job.c.effect is i.Effect.SAFE or (
--- a/starlinghaven/routing/engine.py
+++ b/starlinghaven/routing/engine.py
@@ -13,6 +13,7 @@
 from starlinghaven import interface as i
 from starlinghaven.router import Router
 from starlinghaven.routing.clock import Clock
+from starlinghaven.routing.copies import Copies
 from starlinghaven.routing.types import (
     Answer,
     Ask,
@@ -64,7 +65,10 @@
 class Engine:
     """Feed it through `post`; it answers tickets and gives attempts to the cache side."""
 
-    def __init__(self, settings: i.Settings, seed: int, clock: Clock, counters: Counters) -> None:
+    def __init__(
+        self, settings: i.Settings, seed: int, clock: Clock, counters: Counters, copies: Copies | None = None
+    ) -> None:
+        self._copies = copies
         self.clock, self.counters, self._settings = clock, counters, settings
         self._router = Router(settings, seed, clock.now())
         self._send, self._receive = trio.open_memory_channel[Event](QUEUE)
@@ -170,6 +174,8 @@
                 self._by_hand(event)
             case PurgeNews():
                 self.counters.add("purges")
+                if self._copies:
+                    self._copies.purge(event.group, event.key, event.unix_ms)
                 self._decide(i.Purge(event.group, self.clock.age(event.unix_ms), event.key))
 
     def _at(self, when: float, what: object) -> None:
@@ -208,10 +214,34 @@
         self._at(deadline + GUARD_MS, request)
         patience = max(deadline - self.clock.now(), 0.0)
         part = ask.part or 0
+        own = self._own(ask)
         self._decide(
-            i.Request(number, ask.cls, patience, ask.key, ask.group, part, ask.size_kb, ask.again)
+            i.Request(number, ask.cls, patience, ask.key, ask.group, part, ask.size_kb, ask.again, own)
         )
 
+    def _own(self, ask: Ask) -> i.Own | None:
+        """What the Router is told of a copy held here."""
+        if self._copies is None or not ask.purgeable or (copy := self._copies.find(ask)) is None:
+            return None
+        return i.Own(self.clock.age(copy.since_ms), self._copies.ready_ms(len(copy.body)))
+
+    def _serve(self, number: int) -> None:
+        """The Router wants the own copy served. A purge may have come in between."""
+        request = self._open.get(number)
+        if request is None or self._copies is None:
+            return
+        copy = self._copies.find(request.ask)
+        if copy is None:
+            wait = self._settings.most_wait_ms if self._settings.advises_wait else 0.0
+            self._finish(number, Answer(Result.REFUSED, wait_ms=wait))
+            return
+        self.counters.add("own_copies")
+        if request.ask.have and request.ask.have == copy.tag:
+            self._finish(number, Answer(Result.UNCHANGED, tag=copy.tag))
+            return
+        self._copies.sent(len(copy.body))
+        self._finish(number, Answer(Result.SERVED, copy.body, tag=copy.tag))
+
     def _left(self, ticket: Ticket) -> None:
         number = self._numbers.get(ticket)
         if number is not None:  # else its answer crossed the client's leaving
@@ -265,6 +295,8 @@
             request.last = e.code
             request.lacking = e.code is i.Code.MISS and a.source != a.store
             if e.code is i.Code.OK:
+                if self._copies and request.ask.purgeable and e.since_ms and not e.unchanged:
+                    self._copies.put(request.ask, e, a.keep)
                 result = Result.UNCHANGED if e.unchanged else Result.SERVED
                 self._finish(a.request, Answer(result, e.body, tag=e.tag))
         self._decide(
@@ -335,6 +367,8 @@
             match action:
                 case i.Send() | i.Get():
                     self._start(action)
+                case i.Serve():
+                    self._serve(action.request)
                 case i.Refuse() | i.Fail():
                     self._end(action)
                 case i.Cancel():
--- a/starlinghaven/routing/types.py
+++ b/starlinghaven/routing/types.py
@@ -52,6 +52,7 @@
     idem: str = ""
     have: str = ""
     again: bool = False
+    purgeable: bool = False  # its group is known: a purge finds a copy of it
     body: bytes = b""
 
 
@@ -83,6 +84,7 @@
     body: bytes = b""
     unchanged: bool = False
     tag: str = ""
+    since_ms: float = 0.0  # Unix time at which the origin gave the copy out; 0 is unknown
     note: int = 0
     waited_ms: float = 0.0
     report: Mapping[str, float] = field(default_factory=dict)
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -236,7 +236,7 @@
 @asynccontextmanager
 async def program(
     folder: Path, changelog: str = "", passed: socket.socket | None = None, beside: Program | None = None,
-    **env: str,
+    more: dict[str, Any] | None = None, **env: str,
 ) -> AsyncIterator[Program]:
     """The running program before a stand-in archive; killed in the end if it has not ended.
 
@@ -249,7 +249,8 @@
     async with trio.open_nursery() as nursery:
         if not beside:
             await nursery.start(archive.run)
-        (folder / "config.json").write_text(json.dumps(configuration(archive, port, changelog)))
+        told = configuration(archive, port, changelog) | (more or {})
+        (folder / "config.json").write_text(json.dumps(told))
         log = folder / ("log2" if beside else "log")
         with log.open("w") as sink:
             process = await trio.lowlevel.open_process(
