Hand clients' connections over to the successor in an upgrade

Connections with five requests open on average never fall idle, so Peers.retire closed none of them. Now each connection goes to the successor over a Unix socket in $TMPDIR, cut between two messages, with unread and unsent bytes and its tags; answers to what is still open follow it. A withdrawn call, a client that leaves and an older process that is killed are told across. Without a door, idle connections are closed as before. Ruled out: the listener (0 requests ended at the door) and memory (55 of 80 MB for both).

Tests in test_operations.py and test_codecs.py fail without it.

--- a/starlinghaven/program/daemon.py
+++ b/starlinghaven/program/daemon.py
@@ -11,7 +11,7 @@
 
 import trio
 
-from starlinghaven.program import checks, config, logs, operator
+from starlinghaven.program import checks, config, logs, operator, relay
 from starlinghaven.program.console import PLACES, Console
 from starlinghaven.program.core import Core
 from starlinghaven.program.handover import Handover
@@ -95,6 +95,10 @@
                     nursery.start_soon(self.console.peers.run)
                 if self.agent:
                     nursery.start_soon(self.agent.run)
+                if cfg.passed is not None and (path := self.handover.door()):
+                    door = relay.Door(path, self.core.memory, self.front)
+                    await door.open()
+                    nursery.start_soon(door.run)
                 self.engine.ready = True
                 self.handover.serving()
                 gc.collect()
@@ -107,7 +111,7 @@
                         self._reload()
                     else:
                         break
-                await self._drain()
+                await self._drain(nursery)
                 nursery.cancel_scope.cancel()
         log.info("counters %s", self.counters.line())
         log.info("stopped")
@@ -124,20 +128,27 @@
         if self.signed:
             self.counters.add("keys_reloaded" if self.signed.gate.reload() else "keys_kept")
 
-    async def _drain(self) -> None:
+    async def _drain(self, nursery: trio.Nursery) -> None:
         """New requests go on coming for a while after SIGTERM: they are taken and answered too.
 
-        Where a successor accepts on the same socket, it gets what is new: clients move to it as soon as
-        nothing of theirs is open here.
+        Where a successor accepts on the same socket, it gets what is new, and the connections of clients.
         """
+        giver: relay.Giver | None = None
         log.info("draining open=%d", self.engine.open_requests)
         self.engine.draining = True
         with trio.move_on_after(WINDOW_S):
-            if self.core.cfg.passed is not None and self.handover.successor():
+            path = self.handover.successor() if self.core.cfg.passed is not None else None
+            if path is not None:
                 log.info("leaving the clients to a successor")
-                async with trio.open_nursery() as nursery:
-                    for peers in self._clients:
-                        nursery.start_soon(peers.retire)
+                if path and (giver := await relay.give(path, self.core.memory)):
+                    nursery.start_soon(giver.run)
+                async with trio.open_nursery() as leaving:
+                    for server in self.servers:
+                        leaving.start_soon(server.peers.retire)
+                    if giver:
+                        leaving.start_soon(self.front.hand_over, giver)
+                    else:
+                        leaving.start_soon(self.front.peers.retire)
             else:
                 await trio.sleep_forever()
         self.front.closed = True  # one that goes on asking must not keep the program from its end
@@ -145,6 +156,8 @@
         with trio.move_on_after(FLUSH_S):
             while any(peers.unsent for peers in self._clients):
                 await trio.sleep(0.005)
+            if giver:
+                await giver.flushed()
         self.engine.ready = False
 
 
--- a/starlinghaven/program/handover.py
+++ b/starlinghaven/program/handover.py
@@ -19,6 +19,7 @@
 
 LOOK_S = 0.1  # seconds between two looks for what another process was told by hand
 KEPT_S = 120.0  # seconds for which a store's return is remembered: it is warm long before
+MOST_PATH = 100  # bytes of a Unix socket's path: the system takes 107
 MOST = 4096  # stores remembered at most
 
 
@@ -51,18 +52,27 @@
         """This process is ready: an older one may leave the clients to it."""
         self._write("serving", str(os.getpid()))
 
-    def successor(self) -> bool:
-        """Whether a newer process is there to take what comes."""
+    def successor(self) -> str | None:
+        """The door of a newer process that is there to take what comes, empty if it has none; else None."""
         if (path := self._path("serving")) is None:
-            return False
+            return None
         try:
             number = int(path.read_text())
-            if number == os.getpid():
-                return False
-            os.kill(number, 0)
-            return True
+            if number != os.getpid():
+                os.kill(number, 0)
+                return self.door(number)
         except (OSError, ValueError):
-            return False
+            pass
+        return None
+
+    def door(self, number: int | None = None) -> str:
+        """Where a process, this one if none is named, takes connections over. Its old door is removed."""
+        path = self._path(f"door-{number or os.getpid()}")
+        if path is None or len(bytes(path)) > MOST_PATH:
+            return ""
+        if number is None:
+            path.unlink(missing_ok=True)
+        return str(path)
 
     # -- stores excluded by hand ------------------------------------------------------------------
 
--- a/starlinghaven/program/peers.py
+++ b/starlinghaven/program/peers.py
@@ -67,6 +67,10 @@
         assert self._nursery is not None
         return self._nursery
 
+    @property
+    def all(self) -> list[Peer]:
+        return list(self._peers)
+
     @property
     def unsent(self) -> int:
         return sum(p.connection.unsent for p in self._peers)
@@ -76,13 +80,25 @@
 
         Guards requests on their way: one that has been read or waits to be read keeps its connection.
         """
-        self._listener.stop()
+        self.stop()
         while self._peers:
             for peer in self._idle():
                 if not peer.amid and not peer.connection.pending:
                     peer.connection.finish()
             await trio.sleep(RETIRE_S)
 
+    def stop(self) -> None:
+        """Accepts nothing more."""
+        self._listener.stop()
+
+    def adopt(self, sock: trio.socket.SocketType, make: Callable[[Connection], Peer]) -> None:
+        """Serves a connection that another process accepted."""
+
+        async def serve(connection: Connection) -> None:
+            await self._serve(connection, make)
+
+        self._listener.adopt(sock, serve)
+
     def _idle(self) -> list[Peer]:
         return [p for p in self._peers if not p.busy and not p.connection.unsent]
 
@@ -93,8 +109,8 @@
         idle.connection.abort()
         return True  # its place is free once it has closed
 
-    async def _serve(self, connection: Connection) -> None:
-        peer = self._make(connection)
+    async def _serve(self, connection: Connection, make: Callable[[Connection], Peer] | None = None) -> None:
+        peer = (make or self._make)(connection)
         self._peers.add(peer)
         try:
             await connection.serve(peer.feed)
--- a/starlinghaven/program/platform.py
+++ b/starlinghaven/program/platform.py
@@ -3,15 +3,19 @@
 from __future__ import annotations
 
 import logging
+import os
 import time
 from collections.abc import Callable, Sequence
+from typing import Protocol
+
+import trio
 
 from starlinghaven import interface as i
 from starlinghaven.program.peers import Peers
-from starlinghaven.protocol import ProtocolError, platform
+from starlinghaven.protocol import ProtocolError, handover, platform
 from starlinghaven.routing.engine import Engine
 from starlinghaven.routing.types import Answer, Ask, Counters, Left, Result, Taken
-from starlinghaven.transport.connection import Connection
+from starlinghaven.transport.connection import Connection, Remains
 from starlinghaven.transport.listener import Listener
 from starlinghaven.transport.ring import Ring
 
@@ -20,16 +24,35 @@
 IDLE_S = 5.0  # seconds after which a connection with nothing open is closed; clients do so after 4
 WHOLE_S = 2.0  # seconds that a message may take from its first byte, and the first one from connecting
 SHUN_S = 1.0  # seconds for which a connection that broke the protocol is kept unread before its end
+HANDED_S = 0.002  # seconds between two looks whether all connections are handed over
 MOST_BAD = 8  # calls that can't be used on a connection, with which it is at its end
 TAGS_APART = 4_096  # used tags kept one by one, from which a connection is closed once nothing is open
 SLACK = 4.0  # times a class's give-up time up to which times to wait and to send are usual
 MOST_TAGS_APART = 4 * TAGS_APART  # ... and at which it is closed in any case
 
 
+class Relay(Protocol):
+    """The way to the process that has this one's connections now."""
+
+    def hand(self, client: Client, remains: Remains) -> None: ...
+
+    def answered(self, client: Client, tag: int, text: bytes) -> None: ...
+
+
+class Lender(Protocol):
+    """The way to the process that still answers some tags of a connection."""
+
+    def taken(self, number: int, client: Client) -> None: ...
+
+    def withdrawn(self, client: Client, tag: int) -> None: ...
+
+    def left(self, client: Client) -> None: ...
+
+
 class _Ticket:
     """One request of a client's connection."""
 
-    def __init__(self, client: _Client, tag: int, id: str) -> None:
+    def __init__(self, client: Client, tag: int, id: str) -> None:
         self._client, self._tag, self.id = client, tag, id
 
     def answer(self, answer: Answer) -> None:
@@ -45,7 +68,7 @@
         self._client.closes(self._tag, text)
 
 
-class _Client:
+class Client:
     """One connection: its tags, and the requests open on it."""
 
     def __init__(self, front: PlatformFront, connection: Connection) -> None:
@@ -55,6 +78,9 @@
         self._used: set[int] = set()  # those used above it
         self._bad = 0  # calls that could not be used
         self.open: dict[int, _Ticket] = {}
+        self.relay: Relay | None = None  # where answers go, once another process has the connection
+        self.lent: set[int] = set()  # tags that an older process still answers
+        self.lender: Lender | None = None
         self.ends_at = time.monotonic() + WHOLE_S
         self.amid = False  # a message has begun
         self._fresh: list[Taken] = []  # taken from what came in just now, not told to the engine yet
@@ -98,8 +124,11 @@
             return self._fail(bad.tag, bad)
         match message:
             case platform.Cancel():
-                if ticket := self.open.pop(message.tag, None):
-                    await self._withdraw(ticket)
+                if message.tag in self.open:
+                    await self.withdraw(message.tag)
+                elif message.tag in self.lent and self.lender:
+                    self.lent.remove(message.tag)
+                    self.lender.withdrawn(self, message.tag)
             case platform.Health():
                 self._new_tag(message.tag)
                 self.connection.write(platform.health(message.tag, self._front.state()))
@@ -107,8 +136,10 @@
                 self._new_tag(message.tag)
                 self._call(message)
 
-    async def _withdraw(self, ticket: _Ticket) -> None:
+    async def withdraw(self, tag: int) -> None:
         """Guards against calls withdrawn by the hundreds: what came in together is never sent out."""
+        if (ticket := self.open.pop(tag, None)) is None:
+            return
         kept = [taken for taken in self._fresh if taken.ticket is not ticket]
         if len(kept) < len(self._fresh):
             self._fresh = kept
@@ -132,7 +163,7 @@
     def _call(self, call: platform.Call) -> None:
         if problem := self._problem(call):
             return self._fail(call.tag, problem)
-        if len(self.open) >= platform.MOST_OPEN:
+        if len(self.open) + len(self.lent) >= platform.MOST_OPEN:
             raise ProtocolError("too many calls open")
         if any(t.id == call.id for t in self.open.values()):
             raise ProtocolError("the id of an open call is used again")
@@ -180,17 +211,56 @@
 
     def closes(self, tag: int, text: bytes) -> None:
         """Writes a request's final answer, unless its client has left."""
-        if self.open.pop(tag, None):
-            self.connection.write(text)
-            self.ends_at = max(self.ends_at, time.monotonic() + (WHOLE_S if self.amid else IDLE_S))
-            if len(self._used) >= TAGS_APART and not self.open:
-                self.connection.finish()
+        if not self.open.pop(tag, None):
+            return
+        if self.relay:
+            self.relay.answered(self, tag, text)
+        else:
+            self._say(text)
+
+    def returned(self, tag: int, text: bytes = b"") -> None:
+        """What an older process answers to a tag that it kept; it fails if that process is gone."""
+        if tag in self.lent:
+            self.lent.remove(tag)
+            self._say(text or platform.failed(tag))
+
+    def _say(self, text: bytes) -> None:
+        self.connection.write(text)
+        self.ends_at = max(self.ends_at, time.monotonic() + (WHOLE_S if self.amid else IDLE_S))
+        if len(self._used) >= TAGS_APART and not self.busy:
+            self.connection.finish()
 
     @property
     def busy(self) -> bool:
-        return bool(self.open)
+        return bool(self.open or self.lent)
+
+    def state(self, number: int, remains: Remains) -> handover.Handed:
+        """All that another process must know to go on."""
+        unread = self._reader.rest() + remains.unread
+        used, tags = tuple(self._used), tuple(self.open)
+        return handover.Handed(number, self._used_to, used, tags, unread, remains.unsent)
+
+    def resume(self, told: handover.Handed, lender: Lender) -> None:
+        """Goes on where another process stopped."""
+        self._used_to, self._used = told.used_to, set(told.used)
+        self.lent, self.lender = set(told.open), lender
+        self.connection.preload(told.unread, told.unsent)
 
     async def leave(self) -> None:
+        remains = self.connection.remains
+        if remains and self._front.relay:
+            # No step may come between the end of its reading and this: an answer would be lost.
+            self.relay = self._front.relay
+            self.relay.hand(self, remains)
+            return
+        if remains:
+            os.close(remains.fd)
+        if self.lender:
+            self.lender.left(self)
+        await self.give_up()
+
+    async def give_up(self) -> None:
+        """Nothing of what is open is wanted any more."""
         gone, self.open = self.open, {}
         for ticket in gone.values():
             await self._front.engine.post(Left(ticket))
@@ -211,8 +281,29 @@
         self.engine, self.settings, self.state, self.counters = engine, settings, state, counters
         self.classes = {name: n for n, name in enumerate(classes)}
         self.peers = Peers(listener, self._connected)
+        self.relay: Relay | None = None  # to a successor, which takes the connections over
         self.closed = False  # what still comes is refused: the program ends
 
-    def _connected(self, connection: Connection) -> _Client:
+    async def hand_over(self, relay: Relay) -> None:
+        """Accepts nothing more, and gives every connection to the process behind the relay."""
+        self.relay = relay
+        self.peers.stop()
+        while clients := self.peers.all:
+            for client in clients:
+                client.connection.detach()
+            await trio.sleep(HANDED_S)
+
+    def take_over(self, sock: trio.socket.SocketType, told: handover.Handed, lender: Lender) -> None:
+        """Goes on with a connection that another process gives."""
+
+        def make(connection: Connection) -> Client:
+            client = self._connected(connection)
+            client.resume(told, lender)
+            lender.taken(told.number, client)
+            return client
+
+        self.peers.adopt(sock, make)
+
+    def _connected(self, connection: Connection) -> Client:
         self.counters.add("connections")
-        return _Client(self, connection)
+        return Client(self, connection)
--- a/starlinghaven/protocol/resp.py
+++ b/starlinghaven/protocol/resp.py
@@ -24,6 +24,14 @@
         """Whether an array has begun and is not whole yet."""
         return self._left > 0
 
+    def rest(self) -> bytes:
+        """What was taken from the ring for an array that is not whole yet, as it came in."""
+        if not self._left:
+            return b""
+        start = b"*%d\r\n" % (len(self._got) + self._left)
+        taken = b"".join(b"$%d\r\n%s\r\n" % (len(word), word) for word in self._got)
+        return start + taken + (b"" if self._length is None else b"$%d\r\n" % self._length)
+
     def _number(self, ring: Ring, sign: bytes, most: int) -> int | None:
         """The number of a length line, or None if the line is not whole yet."""
         line = ring.line(LENGTH_LINE)
--- a/starlinghaven/transport/connection.py
+++ b/starlinghaven/transport/connection.py
@@ -4,10 +4,12 @@
 
 import contextlib
 import fcntl
+import os
 import socket
 import struct
 import termios
 from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
 
 import trio
 
@@ -22,6 +24,15 @@
 """Takes what it can use from the ring; returns how many bytes the ring must hold before it can go on."""
 
 
+@dataclass(frozen=True, slots=True)
+class Remains:
+    """What is left of a detached connection: whoever takes it owns the descriptor."""
+
+    fd: int
+    unread: bytes
+    unsent: bytes
+
+
 class Connection:
     """Owns a socket and its two rings. `serve` opens and closes them; others only write or abort."""
 
@@ -39,6 +50,9 @@
         self._room = trio.Event()  # the peer has read
         self._ending = False
         self._shunned_s: float | None = None
+        self._receiving = trio.CancelScope()
+        self._detaching = False
+        self.remains: Remains | None = None
         self.closed = False
         self.reading = False  # it waits for the peer's bytes, and for nothing else
         self.heard_at = trio.current_time()  # when the last bytes came in
@@ -75,6 +89,17 @@
         self._ending = True
         self._work.set()
 
+    def detach(self) -> None:
+        """Ends it without closing, as soon as nothing that came in is being handled: see `remains`."""
+        self._detaching = True
+        self._receiving.cancel()
+
+    def preload(self, unread: bytes, unsent: bytes) -> None:
+        """What another process had read and not used, and not yet written."""
+        self._in.put(unread)
+        self._out.put(unsent)
+        self._work.set()
+
     def shun(self, seconds: float) -> None:
         """Reads nothing more, and closes after so long: what is queued goes out meanwhile.
 
@@ -96,8 +121,13 @@
             with self._scope, contextlib.suppress(OSError):
                 async with trio.open_nursery() as nursery:
                     nursery.start_soon(self._write_out)
-                    await self._read_in(feed)
+                    detached = await self._read_in(feed)
                     nursery.cancel_scope.cancel()
+                if detached:
+                    size_in, size_out = self._in.size, self._out.size
+                    self.remains = Remains(
+                        os.dup(self._sock.fileno()), self._in.take(size_in), self._out.take(size_out)
+                    )
         except* OSError:
             pass  # the peer broke off: the same as an end
         finally:
@@ -106,25 +136,37 @@
             self._in.close()
             self._out.close()
 
-    async def _read_in(self, feed: Feed) -> None:
-        while True:
-            while self._out.size > HIGH_WATER:
-                self._room = trio.Event()
-                await self._room.wait()
-            self.reading = True
-            got = await self._sock.recv_into(self._in.space())
+    async def _read_in(self, feed: Feed) -> bool:
+        """Reads until the end; whether that is since it is to be detached."""
+        if self._in.size and not await self._use(feed):
+            return False
+        while not self._detaching:
+            got = -1
+            with trio.CancelScope() as self._receiving:
+                while self._out.size > HIGH_WATER:
+                    self._room = trio.Event()
+                    await self._room.wait()
+                self.reading = True
+                got = await self._sock.recv_into(self._in.space())
             self.reading = False
+            if got < 0:
+                continue  # told to detach
             if not got:
-                return
+                return False
             self.heard_at = trio.current_time()
             self._in.filled(got)
-            wanted = await feed(self._in)
-            if self._shunned_s is not None:
-                self._in.skip(self._in.size)
-                await trio.sleep(self._shunned_s)
-                return
-            if not await self._grow(max(wanted, self._in.size + 1)):
-                return
+            if not await self._use(feed):
+                return False
+        return True
+
+    async def _use(self, feed: Feed) -> bool:
+        """Hands on what came in; whether there is a reason to go on reading."""
+        wanted = await feed(self._in)
+        if self._shunned_s is not None:
+            self._in.skip(self._in.size)
+            await trio.sleep(self._shunned_s)
+            return False
+        return await self._grow(max(wanted, self._in.size + 1))
 
     async def _grow(self, n: int) -> bool:
         with trio.move_on_after(STARVED_S):
--- a/starlinghaven/transport/listener.py
+++ b/starlinghaven/transport/listener.py
@@ -36,6 +36,7 @@
         self._address, self._memory, self._most = split_address(address), memory, most
         self._passed = passed  # descriptor of a socket that listens already and is another's
         self._accepting = trio.CancelScope()
+        self._nursery: trio.Nursery | None = None
         self.count = 0
         self.port = 0
         self._left = trio.Event()  # a connection has ended
@@ -58,9 +59,16 @@
         clients wait.
         """
         async with trio.open_nursery() as nursery:
+            self._nursery = nursery
             with self._accepting:
                 await self._accept(nursery, serve, make_room)
 
+    def adopt(self, sock: trio.socket.SocketType, serve: Serve) -> None:
+        """Serves a connection that another process accepted, like one of its own."""
+        assert self._nursery is not None
+        self.count += 1
+        self._nursery.start_soon(self._one, sock, serve)
+
     def stop(self) -> None:
         """Accepts nothing more; what was accepted goes on."""
         self._accepting.cancel()
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -202,6 +202,7 @@
 
     def __init__(self, archive: Archive, process: trio.Process, port: int, log: Path) -> None:
         self.archive, self.process, self.port, self._log = archive, process, port, log
+        self.console = 0  # port of the operators' console, if there is one
 
     async def client(self) -> Client:
         return Client(await trio.open_tcp_stream("127.0.0.1", self.port))
@@ -262,6 +263,7 @@
                 pass_fds=(passed.fileno(),) if passed else (),
             )
         running = Program(archive, process, port, log)
+        running.console = int(env.get("LB_CONSOLE", ":0").rpartition(":")[2])
         try:
             await running.logged(" ready ")
             yield running
--- a/tests/steps.py
+++ b/tests/steps.py
@@ -78,6 +78,7 @@
         self.written: list[bytes] = []
         self.closed = False
         self.heard_at = 0.0
+        self.remains = None
 
     def write(self, data: bytes) -> None:
         if not self.closed:
--- a/tests/test_codecs.py
+++ b/tests/test_codecs.py
@@ -148,3 +148,16 @@
     ]
     with pytest.raises(ProtocolError):
         changelog.read_known(raw, ["west"], ["std"])
+
+
+@given(st.integers(0, 40))
+def test_what_was_taken_of_a_half_read_array_can_be_read_again_elsewhere(at: int) -> None:
+    """A connection that changes hands must go on in the middle of a message."""
+    text = encode(b"RPC.CALL", b"7", b"", b"x" * 9, b"")
+    one, other = Ring(Memory(1 << 20)), Ring(Memory(1 << 20))
+    reader = RespReader(words=5, word_bytes=100, body_at=4, body_bytes=100)
+    one.put(text[:at])
+    whole = reader.next(one)
+    other.put(reader.rest() + one.take(one.size) + text[at:])
+    again = RespReader(words=5, word_bytes=100, body_at=4, body_bytes=100).next(other)
+    assert (whole or again) == [b"RPC.CALL", b"7", b"", b"x" * 9, b""] and not (whole and again)
--- a/tests/test_models.py
+++ b/tests/test_models.py
@@ -10,7 +10,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
 from starlinghaven import interface as i
-from starlinghaven.program.platform import MOST_BAD, PlatformFront, _Client
+from starlinghaven.program.platform import MOST_BAD, Client, PlatformFront
 from starlinghaven.protocol.resp import encode
 from starlinghaven.routing.types import (
     Answer,
@@ -97,7 +97,7 @@
             engine=self.posts, settings=SETTINGS, counters=Counters(), classes={"video": 0},
             state=lambda: b"READY", closed=False,
         )  # fmt: skip
-        self.client = _Client(cast(PlatformFront, front), cast(Connection, self.wire))
+        self.client = Client(cast(PlatformFront, front), cast(Connection, self.wire))
         self.state: dict[int, str] = {}
         self.tickets: dict[int, Any] = {}
         self.owed = 0  # answers that must have been written
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -4,16 +4,24 @@
 
 import signal
 import socket
+import tempfile
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+from functools import partial
 from pathlib import Path
+from typing import Any
 
 import pytest
 import trio
+from hypothesis import given
+from hypothesis import strategies as st
 
 from starlinghaven.program.handover import Handover
-from starlinghaven.protocol import ProtocolError, console
+from starlinghaven.protocol import ProtocolError, console, handover
+from starlinghaven.protocol.resp import encode
 from starlinghaven.routing.types import Hand
 from starlinghaven.transport.ring import Memory, Ring
-from tests.loopback import KEY, free_port, in_trio, operator, program
+from tests.loopback import KEY, Program, free_port, in_trio, operator, program
 
 CACHE = "s-00000001"
 
@@ -73,33 +81,115 @@
             await stream.aclose()
 
 
+@asynccontextmanager
+async def upgrade(folder: Path, shared: str) -> AsyncIterator[tuple[Program, Callable[[], Any]]]:
+    """A process on a passed socket, and what starts its successor; both share a folder."""
+    with socket.create_server(("127.0.0.1", 0)) as passed:
+        doors = [f"127.0.0.1:{free_port()}" for _ in range(2)]
+        async with program(folder, passed=passed, LB_CONSOLE=doors[0], TMPDIR=shared) as old:
+            yield old, partial(
+                program, folder, passed=passed, beside=old, LB_CONSOLE=doors[1], TMPDIR=shared
+            )
+
+
 @in_trio
 async def test_an_upgrade_takes_the_clients_over_and_keeps_stores_excluded(tmp_path: Path) -> None:
-    """The platform holds the listening socket; the old process ends with nothing lost."""
-    with socket.create_server(("127.0.0.1", 0)) as passed:
-        doors = [free_port(), free_port()]
-        async with program(
-            tmp_path, passed=passed, LB_CONSOLE=f"127.0.0.1:{doors[0]}", TMPDIR=str(tmp_path)
-        ) as old:
-            assert (await operator(doors[0], f"exclude {CACHE}"))[0].startswith("SUCCESS")
-            old.archive.plan[KEY] = (2.0, "served")
-            idle, busy = await old.client(), await old.client()
-            await idle.call(key="00000000000000aa")
-            tag = await busy.send(ttl="5000")
-            while len(old.archive.orders) < 2:
+    """The platform holds the listening socket; the old process ends with nothing lost.
+
+    The folder's name is too long for a Unix socket: connections are closed as they fall idle then.
+    """
+    shared = tmp_path / ("x" * 100)
+    shared.mkdir()
+    async with upgrade(tmp_path, str(shared)) as (old, successor):
+        assert (await operator(old.console, f"exclude {CACHE}"))[0].startswith("SUCCESS")
+        old.archive.plan[KEY] = (2.0, "served")
+        idle, busy = await old.client(), await old.client()
+        await idle.call(key="00000000000000aa")
+        tag = await busy.send(ttl="5000")
+        while len(old.archive.orders) < 2:
+            await trio.sleep(0.01)
+        async with successor() as new:
+            assert (await operator(new.console, "readyz"))[0].startswith("SUCCESS")
+            old.process.send_signal(signal.SIGTERM)
+            await old.logged("leaving the clients to a successor")
+            assert await idle.words.read() is None
+            for _ in range(5):
+                assert (await (await new.client()).call(key="00000000000000aa"))[1] == b"RESULT"
+            answer = await busy.words.read()
+            assert answer is not None and int(answer[0]) == tag and answer[1] == b"RESULT"
+            assert await old.exit_code() == 0 and " taken=2 " in old.log()
+            assert CACHE not in {o["at"] for o in old.archive.orders}, "also not from the new process"
+            assert (await operator(new.console, f"include {CACHE}"))[0].startswith("SUCCESS")
+
+
+@in_trio
+async def test_connections_are_handed_over_with_what_is_open_half_read_or_withdrawn(tmp_path: Path) -> None:
+    """Clients with something always open never fall idle: they must not notice the upgrade at all."""
+    with tempfile.TemporaryDirectory(prefix="up", dir="/tmp") as shared:
+        async with upgrade(tmp_path, shared) as (old, successor):
+            old.archive.plan[KEY] = (1.5, "served")
+            client, leaving = await old.client(), await old.client()
+            slow, withdrawn = await client.send(ttl="5000"), await client.send(ttl="5000")
+            await leaving.send(ttl="5000")
+            fields = b"call=00000000000f0f0f,ttl=2500,row=00000000000000aa,block=3,family=17"
+            text = encode(b"RPC.CALL", b"3", b"pieces", fields, b"x")
+            await client.words.stream.send_all(text[:60])  # in the middle of its second word but one
+            while len(old.archive.orders) < 3:
                 await trio.sleep(0.01)
-            async with program(
-                tmp_path, passed=passed, beside=old, LB_CONSOLE=f"127.0.0.1:{doors[1]}",
-                TMPDIR=str(tmp_path),
-            ) as new:  # fmt: skip
-                assert (await operator(doors[1], "readyz"))[0].startswith("SUCCESS")
+            async with successor() as new:
                 old.process.send_signal(signal.SIGTERM)
-                await old.logged("leaving the clients to a successor")
-                assert await idle.words.read() is None
-                for _ in range(5):
-                    assert (await (await new.client()).call(key="00000000000000aa"))[1] == b"RESULT"
-                answer = await busy.words.read()
-                assert answer is not None and int(answer[0]) == tag and answer[1] == b"RESULT"
-                assert await old.exit_code() == 0 and " taken=2 " in old.log()
-                assert CACHE not in {o["at"] for o in old.archive.orders}, "also not from the new process"
-                assert (await operator(doors[1], f"include {CACHE}"))[0].startswith("SUCCESS")
+                await new.logged("hands its clients over")
+                await client.words.stream.send_all(text[60:] + encode(b"RPC.CANCEL", b"%d" % withdrawn))
+                answer = await client.words.read()
+                assert answer is not None and answer[:2] == [b"3", b"RESULT"], "taken by the new process"
+                await leaving.words.stream.aclose()
+                answer = await client.words.read()
+                assert answer is not None and answer[:2] == [b"%d" % slow, b"RESULT"], "by way of the old"
+                client._tag = 3
+                assert (await client.call(key="00000000000000aa"))[1] == b"RESULT"
+                assert await old.exit_code() == 0
+                assert " left=2 " in old.log() and " taken=3 " in old.log()
+                assert len(old.archive.dropped) == 2
+                await client.words.write(b"RPC.CALL", b"1", b"pieces", fields, b"x")
+                assert await client.words.read() is None, "a tag that was used before the upgrade"
+
+
+@in_trio
+async def test_what_an_older_process_still_owed_fails_if_it_is_killed(tmp_path: Path) -> None:
+    with tempfile.TemporaryDirectory(prefix="up", dir="/tmp") as shared:
+        async with upgrade(tmp_path, shared) as (old, successor):
+            old.archive.plan[KEY] = (30.0, "served")
+            client = await old.client()
+            tag = await client.send(ttl="9000")
+            while not old.archive.orders:
+                await trio.sleep(0.01)
+            async with successor() as new:
+                old.process.send_signal(signal.SIGTERM)
+                await new.logged("hands its clients over")
+                assert (await client.call(key="00000000000000aa"))[1] == b"RESULT"
+                old.process.kill()
+                answer = await client.words.read()
+                assert answer is not None and answer[:2] == [b"%d" % tag, b"ABORTED"]
+                assert (await client.call(key="00000000000000aa"))[1] == b"RESULT"
+
+
+@given(st.lists(st.integers(1, 40)))
+def test_frames_are_read_in_pieces_as_they_were_worded(cuts: list[int]) -> None:
+    frames: list[handover.Frame] = [
+        handover.Handed(7, 12, (14, 20), (11, 14), b"half a mess", b"age"),
+        handover.Answered(7, 11, b"x" * 50),
+        handover.Withdrawn(7, 14), handover.Gone(7), handover.Handed(8, 0, (), (), b"", b""),
+    ]  # fmt: skip
+    text, reader, ring = b"".join(map(handover.encode, frames)), handover.FrameReader(), Ring(Memory(1 << 20))
+    read: list[handover.Frame] = []
+    for size in [*cuts, len(text)]:
+        ring.put(text[:size])
+        text = text[size:]
+        while (frame := reader.next(ring)) is not None:
+            read.append(frame)
+    assert read == frames
+    for spoilt in (b"\xff" * 13, handover.encode(frames[2])[:4] + b"\x09" + handover.encode(frames[2])[5:]):
+        ring.put(spoilt)
+        with pytest.raises(ProtocolError):
+            handover.FrameReader().next(ring)
+        ring.skip(ring.size)
