Book all that goes over the own link, rank copies asked for again, share limits in upgrades

Checked: only own copies queue on a link that nobody else models; Copies._done_at booked bodies alone and Engine._serve nothing for "your copy holds", so that a little more went out than the link carries, and the queue never emptied on the busiest proxy. Ruled out: growing tables (memory 28.4 to 29.5 MB) and the caches (p50 level). Also: Copies.find never ranked a copy anew that is served from here alone (a probe showed unranked ones dropped first when 16 MB were full); and two processes of an upgrade each took the whole of rings and connections.

--- a/starlinghaven/program/core.py
+++ b/starlinghaven/program/core.py
@@ -13,7 +13,8 @@
 from starlinghaven.transport.ring import Memory
 
 RINGS = 0.35  # part of the memory limit that rings may hold; the rest is the interpreter's and answers'
-COPIES = 0.125  # part of the memory limit for copies of its own
+COPIES = 0.125  # part of the memory limit for copies of its own, at most
+PROCESS = 24 * 1024 * 1024  # bytes that a process holds beside rings and copies
 RESERVE = 32  # descriptors for files, the change log, balancers' checks and what the system wants
 STORES_LEAST = 8  # part of all descriptors that stores have at least, one in so many
 
@@ -24,10 +25,13 @@
     def __init__(self, cfg: config.Config, front_sockets: int) -> None:
         self.cfg = cfg
         self.counters = Counters()
-        self.memory = Memory(int(cfg.memory_bytes * RINGS))
+        # Guards the limits in an upgrade: for a while two processes share what is allowed to one.
+        processes = 2 if cfg.passed is not None else 1
+        self.memory = Memory(int(cfg.memory_bytes * RINGS / processes))
         clock, copies = Clock(), None
         if cfg.flow > 0 and cfg.link > 0:  # else the platform allows no copies of its own
-            copies = Copies(int(cfg.memory_bytes * COPIES), cfg.flow, cfg.link, clock)
+            spare = max(cfg.memory_bytes / processes - PROCESS, 0) / 2
+            copies = Copies(int(min(cfg.memory_bytes * COPIES, spare)), cfg.flow, cfg.link, clock)
         self.engine = Engine(cfg.settings, cfg.seed, clock, self.counters, copies)
         self.caches = Caches(
             self.engine,
@@ -37,7 +41,7 @@
             dial_s=cfg.dial_s,
             streams=cfg.streams,
             idle_s=cfg.idle_s,
-            most=max(cfg.sockets - RESERVE - front_sockets, cfg.sockets // STORES_LEAST),
+            most=max((cfg.sockets - RESERVE - front_sockets) // processes, cfg.sockets // STORES_LEAST),
         )
         self.log = changelog.ChangeLog(
             cfg.log_address, cfg.last, self.engine, self.memory, self.counters
--- a/starlinghaven/routing/copies.py
+++ b/starlinghaven/routing/copies.py
@@ -9,6 +9,9 @@
 from starlinghaven.routing.types import Ask, Ended
 
 ENTRY = 512  # bytes that a copy costs beside its body
+FRAME = 64  # bytes of an answer on the link beside its body
+TOLD = 1 / 20  # part of a copy's bytes that telling a client costs that its own one holds
+FILLED = 0.9  # part of the link's stated rate that is counted on: what is booked too low would pile up
 PURGES_MS = 30_000.0  # ms for which a purge is remembered: no answer that was on its way comes later
 MOST_PURGES = 4096
 
@@ -45,10 +48,14 @@
         return ask.cls, ask.key, ask.part, ask.group
 
     def find(self, ask: Ask) -> Copy | None:
+        """The copy that will do for a request. One that is asked for again has a rank from then on.
+
+        Guards what is asked for most: served from here, it passes no store that would rank it anew.
+        """
         name = self._name(ask)
         for kept in self._kept:
-            if copy := kept.get(name):
-                kept.move_to_end(name)
+            if copy := kept.pop(name, None):
+                self._kept[1][name] = copy
                 return copy
         return None
 
@@ -86,11 +93,12 @@
     # -- the link ---------------------------------------------------------------------------------
 
     def _done_at(self, size: int) -> float:
-        return max(self._clock.now(), self._free_at) + 1000.0 * size / self._link
+        return max(self._clock.now(), self._free_at) + 1000.0 * (size + FRAME) / (FILLED * self._link)
 
     def ready_ms(self, size: int) -> float:
         """How long sending so much would take now: at its own pace at most, after what is on the link."""
         return max(self._done_at(size) - self._clock.now(), 1000.0 * size / self._flow)
 
-    def sent(self, size: int) -> None:
-        self._free_at = self._done_at(size)
+    def sent(self, size: int, told: bool = False) -> None:
+        """Books what is put on the link. Guards it against a queue that grows through a long day."""
+        self._free_at = self._done_at(round(TOLD * size) if told else size)
--- a/starlinghaven/routing/engine.py
+++ b/starlinghaven/routing/engine.py
@@ -236,11 +236,10 @@
             self._finish(number, Answer(Result.REFUSED, wait_ms=wait))
             return
         self.counters.add("own_copies")
-        if request.ask.have and request.ask.have == copy.tag:
-            self._finish(number, Answer(Result.UNCHANGED, tag=copy.tag))
-            return
-        self._copies.sent(len(copy.body))
-        self._finish(number, Answer(Result.SERVED, copy.body, tag=copy.tag))
+        unchanged = bool(request.ask.have) and request.ask.have == copy.tag
+        self._copies.sent(len(copy.body), told=unchanged)
+        result, body = (Result.UNCHANGED, b"") if unchanged else (Result.SERVED, copy.body)
+        self._finish(number, Answer(result, body, tag=copy.tag))
 
     def _left(self, ticket: Ticket) -> None:
         number = self._numbers.get(ticket)
