Add balancer health: a state machine that says warming, overloaded and draining

Need: balancers in other installations were told "ready" by a proxy restarted on its old list of caches, and by a half-dead one (no cache reachable, engine stalled, queue or descriptors nearly full); nothing damped flapping. Two flags behind the agent-check and one HTTP path could not say more.

Change: - health/ (new, no I/O): model.py, states starting/warming/ready/degraded/overloaded/unavailable/ draining/stopped fed by Facts, with enter/leave levels, calm-ms and hold-ms against flapping; wire.py, the agent-check line, /livez and /readyz with Retry-After, gRPC serving status; settings.py, thresholds in KDL read with ckdl, a bad file refused naming setting and reason. - program/health.py replaces program/checks.py: reads the engine's facts on each question and on a 50 ms tick that measures loop lag; logs each change once with structlog, with its cause. - The engine keeps the stores heard from and when it last took events; the change log says whether it spoke since the start. Readiness of the platform's own front is unchanged. - Connection.finish(linger_s): an HTTP refusal with unread input (431 for a 20 KB request) now half-closes and drops the rest for 0.5 s.

--- /dev/null
+++ b/starlinghaven/health/__init__.py
@@ -0,0 +1,1 @@
+"""Balancer health: what the proxy tells balancers (state machine, wire words, operator settings)."""
--- a/starlinghaven/program/changelog.py
+++ b/starlinghaven/program/changelog.py
@@ -45,6 +45,12 @@
         self._address, self.last = address, last
         self._engine, self._memory, self._counters = engine, memory, counters
         self._moved = trio.CancelScope()
+        self.heard = False  # a frame came since the start: the list given at the start is confirmed
+
+    @property
+    def confirms(self) -> bool:
+        """Whether the list given at the start is known to be current: the log spoke, or there is none."""
+        return self.heard or not self._address
 
     def move(self, address: str) -> None:
         """Follows the log at another address from now on, after the last event that is known.
@@ -91,6 +97,7 @@
             nonlocal resumed
             try:
                 while (frame := reader.next(ring)) is not None:
+                    self.heard = True
                     await self._told(*frame, resumed)
                     resumed = False
             except ProtocolError as error:  # caught here: one bad frame must not end the program
--- a/starlinghaven/program/daemon.py
+++ b/starlinghaven/program/daemon.py
@@ -22,8 +22,8 @@
 from starlinghaven.transport.listener import Listener
 
 if TYPE_CHECKING:  # HTTP and tokens load only where they are switched on: a restart must be short
-    from starlinghaven.program.checks import AgentCheck
-    from starlinghaven.program.http import Exchange, Handle, HttpServer
+    from starlinghaven.program.health import HealthService
+    from starlinghaven.program.http import Handle, HttpServer
     from starlinghaven.program.signed import SignedFront
 
 log = logging.getLogger("starlinghaven")
@@ -49,7 +49,15 @@
         )
         self.signed: SignedFront | None = None
         self.servers: list[HttpServer] = []
-        self.agent: AgentCheck | None = None
+        self.health: HealthService | None = None
+        if options.health or options.agent:
+            from starlinghaven.health import settings
+            from starlinghaven.health.model import Thresholds
+            from starlinghaven.program.health import HealthService
+
+            limits = settings.load(options.rules) if options.rules else Thresholds()
+            self.health = HealthService(core.engine, core.log, limits)
+        self._agent: Listener | None = None
         if options.signed:
             from starlinghaven.program.signed import SignedFront
 
@@ -57,13 +65,11 @@
                 options.signed, core.engine, cfg.settings, cfg.classes, core.counters, _new_id
             )
             self._serve_http(options.signed.listen, options.signed.connections, self.signed.handle)
-        if options.health:
-            self._serve_http(options.health, CHECKS, self._health)
+        if self.health and options.health:
+            self._serve_http(options.health, CHECKS, self.health.http)
         if options.agent:
-            from starlinghaven.program.checks import AgentCheck
-
-            self._listeners.append(self._listener(options.agent, CHECKS))
-            self.agent = AgentCheck(self._listeners[-1], core.engine)
+            self._agent = self._listener(options.agent, CHECKS)
+            self._listeners.append(self._agent)
         self.console: Console | None = None
         if cfg.console:
             self._listeners.append(Listener(cfg.console, core.memory, PLACES))
@@ -86,11 +92,6 @@
         self._listeners.append(self._listener(listen, most))
         self.servers.append(HttpServer(self._listeners[-1], handle, self.counters))
 
-    async def _health(self, exchange: Exchange) -> None:
-        from starlinghaven.program import checks
-
-        await checks.health(self.engine, exchange)
-
     def state(self) -> bytes:
         return STATES[self.engine.state]
 
@@ -108,8 +109,10 @@
                     nursery.start_soon(peers.run)
                 if self.console:
                     nursery.start_soon(self.console.peers.run)
-                if self.agent:
-                    nursery.start_soon(self.agent.run)
+                if self.health:
+                    nursery.start_soon(self.health.run)
+                    if self._agent:
+                        nursery.start_soon(self._agent.run, self.health.agent, lambda: False)
                 if cfg.passed is not None and (path := self.handover.door()):
                     door = relay.Door(path, self.core.memory, self.front)
                     await door.open()
--- a/starlinghaven/program/logs.py
+++ b/starlinghaven/program/logs.py
@@ -39,3 +39,24 @@
     handler.addFilter(Bounded())
     handler.setFormatter(logging.Formatter("%(asctime)s %(levelname)s %(name)s %(message)s"))
     logging.basicConfig(level=logging.INFO, handlers=[handler])
+
+
+def structured() -> None:
+    """Sends structlog's events through the handler above, as JSON after the usual prefix.
+
+    Called by the parts that log with structlog (balancer health first); importing structlog costs some
+    tens of ms, which a restart on the platform's front alone does not pay.
+    """
+    import structlog
+
+    if structlog.is_configured():
+        return
+    structlog.configure(
+        processors=[
+            structlog.processors.add_log_level,
+            structlog.processors.JSONRenderer(sort_keys=True),
+        ],
+        logger_factory=structlog.stdlib.LoggerFactory(),
+        wrapper_class=structlog.make_filtering_bound_logger(logging.INFO),
+        cache_logger_on_first_use=True,
+    )
--- a/starlinghaven/program/operator.py
+++ b/starlinghaven/program/operator.py
@@ -56,6 +56,7 @@
     signed: Signed | None = None
     agent: str = ""  # address of the agent-check
     health: str = ""  # address of the HTTP health check
+    rules: str = ""  # KDL file of health thresholds (starlinghaven.health.settings); empty: defaults
 
 
 def load(path: str) -> Operator:
@@ -67,6 +68,7 @@
             signed=_signed(signed) if signed else None,
             agent=raw.get("agent", {}).get("listen", ""),
             health=raw.get("health", {}).get("listen", ""),
+            rules=raw.get("health", {}).get("thresholds", ""),
         )
     except (OSError, tomllib.TOMLDecodeError, KeyError, TypeError, AttributeError) as error:
         raise ValueError(f"{path}: {type(error).__name__}: {error}") from error
--- a/starlinghaven/routing/engine.py
+++ b/starlinghaven/routing/engine.py
@@ -41,6 +41,7 @@
 MOST_OPEN = 2048  # requests held at once; beyond it they are refused unseen
 UNSERVED_STEP, UNSERVED_MS = 0.02, 5_000.0  # weight of one answer, and ms over which it is forgotten
 NOTES = {note.value: note for note in i.Note}
+HEARD = frozenset({i.Code.OK, i.Code.MISS, i.Code.FULL, i.Code.ERROR})  # ends in which a store answered
 
 
 @dataclass(eq=False, slots=True)
@@ -86,6 +87,8 @@
         self._quiet = trio.Event()
         self.ready = self.draining = False
         self._unserved, self._unserved_at = 0.0, clock.now()  # share of answers that did not serve, lately
+        self.heard: set[str] = set()  # stores that answered since the start
+        self.turned_at = clock.now()  # ms at which the engine last took events: a stall shows here
 
     # -- for other tasks --------------------------------------------------------------------------
 
@@ -132,6 +135,26 @@
         up = sum(s.phase is i.Phase.UP for s in own) / len(own) if own else 0.0
         return max(round(100 * up * (1.0 - self._unserved_now())), 1)
 
+    @property
+    def waiting(self) -> int:
+        """Events in the queue, not yet taken."""
+        return self._receive.statistics().current_buffer_used
+
+    @property
+    def reachable(self) -> tuple[int, int]:
+        """Caches of the own zone: how many are listed, and how many of them take new work."""
+        behind = (self._settings.origin_kind, self._settings.parent_kind)
+        own = [s for s in self._stores.values() if s.zone == self._settings.zone and s.kind not in behind]
+        resting = self._router.resting()
+        usable = sum(
+            s.phase is i.Phase.UP and s.id not in self._excluded and s.id not in resting for s in own
+        )
+        return len(own), usable
+
+    def unserved(self) -> float:
+        """Share of recent answers that did not serve, 0 to 1, forgotten over UNSERVED_MS."""
+        return self._unserved_now()
+
     def _unserved_now(self) -> float:
         return self._unserved * math.exp((self._unserved_at - self.clock.now()) / UNSERVED_MS)
 
@@ -149,6 +172,7 @@
         while True:
             with trio.move_on_after(self._sleep_s()):
                 self.handle(await self._receive.receive())
+                self.turned_at = self.clock.now()
                 for _ in range(BATCH):
                     try:
                         self.handle(self._receive.receive_nowait())
@@ -289,6 +313,8 @@
         """The one place where an attempt that was out is given back."""
         del self._attempts[a.request, a.number]
         self.counters.add(f"ended_{e.code.name.lower()}")
+        if e.code in HEARD:
+            self.heard.add(a.store)
         request = self._open.get(a.request)
         if request is not None:
             request.last = e.code
--- a/starlinghaven/transport/connection.py
+++ b/starlinghaven/transport/connection.py
@@ -49,6 +49,7 @@
         self._work = trio.Event()  # there is something to write, or to stop for
         self._room = trio.Event()  # the peer has read
         self._ending = False
+        self._linger_s = 0.0  # after the last byte: seconds in which what still comes is read and dropped
         self._shunned_s: float | None = None
         self._detaching = False
         self.remains: Remains | None = None
@@ -94,9 +95,14 @@
         except OSError:
             return 0  # full, or broken: the writing task waits, or meets the error
 
-    def finish(self) -> None:
-        """Closes once all that is queued has been written."""
-        self._ending = True
+    def finish(self, linger_s: float = 0.0) -> None:
+        """Closes once all that is queued has been written.
+
+        With `linger_s`, it first shuts its sending side and reads, dropping it, what the peer still
+        sends, for that many seconds at most or until the peer ends: closing with unread input resets
+        the connection, and the peer may lose the last answer (RFC 9112, section 9.6).
+        """
+        self._ending, self._linger_s = True, max(self._linger_s, linger_s)
         self._work.set()
 
     def detach(self) -> None:
@@ -169,6 +175,9 @@
                 return False
             self.heard_at = trio.current_time()
             self._in.filled(got)
+            if self._ending and self._linger_s > 0:
+                self._in.skip(self._in.size)  # the answer is out: nothing more is taken
+                continue
             if not await self._use(feed):
                 return False
         return True
@@ -196,6 +205,10 @@
         while True:
             if not self._out.size:
                 if self._ending:
+                    if self._linger_s > 0:
+                        with contextlib.suppress(OSError):
+                            self._sock.shutdown(socket.SHUT_WR)
+                        await trio.sleep(self._linger_s)
                     self._scope.cancel()
                     return
                 self._work = trio.Event()
