--- a/benchmarks/health_removal.py
+++ b/benchmarks/health_removal.py
@@ -30,7 +30,8 @@
 def spread(name: str, seconds: list[float]) -> str:
     ms = sorted(1000 * s for s in seconds)
     q = statistics.quantiles(ms, n=100, method="inclusive") if len(ms) > 1 else ms * 99
-    return f"{name:<28} n={len(ms):3d}  p50 {q[49]:6.0f} ms  p90 {q[89]:6.0f} ms  p99 {q[98]:6.0f} ms  max {ms[-1]:6.0f} ms"
+    figures = f"p50 {q[49]:4.0f} ms  p90 {q[89]:4.0f} ms  p99 {q[98]:4.0f} ms  max {ms[-1]:4.0f} ms"
+    return f"{name:<24} n={len(ms):3d}  {figures}"
 
 
 async def trials(n: int) -> list[str]:
--- a/starlinghaven/plugin/grpc_client.py
+++ b/starlinghaven/plugin/grpc_client.py
@@ -16,7 +16,7 @@
 import time
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import grpc
 import trio
@@ -27,6 +27,10 @@
 from starlinghaven.protocol.uri_signing import BadToken
 from starlinghaven.routing.types import Answer, Ask, Left, Result, Taken
 
+if TYPE_CHECKING:
+    from starlinghaven.health.model import Thresholds
+    from starlinghaven.program.health import HealthService
+
 log = logging.getLogger(__name__)
 
 WAITING = 1024  # calls and cancellations that may wait for the engine
@@ -63,8 +67,10 @@
 class EngineThread:
     """Owns the thread with the engine. Used as a context manager, or by `start` and `close`."""
 
-    def __init__(self, config: Config) -> None:
-        self.config = config
+    def __init__(self, config: Config, health: Thresholds | None = None) -> None:
+        """`health`: thresholds of balancer health; with them, `self.health` is kept (see grpc_health)."""
+        self.config, self._limits = config, health
+        self.health: HealthService | None = None
         self._core: Core | None = None
         self._token: trio.lowlevel.TrioToken | None = None
         self._stop: trio.Event | None = None
@@ -107,12 +113,19 @@
             self._core = Core(self.config, front_sockets=0)
             self._token, self._stop = trio.lowlevel.current_trio_token(), trio.Event()
             await self._core.start(nursery)
+            if self._limits is not None:
+                from starlinghaven.program.health import HealthService
+
+                self.health = HealthService(self._core.engine, self._core.log, self._limits)
+                nursery.start_soon(self.health.run)
             self._send, receive = trio.open_memory_channel[Taken | Left](WAITING)
             nursery.start_soon(self._pump, receive, self._core)
             self._core.engine.ready = True
             self._started.put(None)
             await self._stop.wait()
             self._core.engine.draining = True
+            if self.health is not None:
+                self.health.now()  # the drain is said before anything is closed
             with trio.move_on_after(STOP_S):
                 await self._core.engine.quiet()
             nursery.cancel_scope.cancel()
--- a/starlinghaven/program/health.py
+++ b/starlinghaven/program/health.py
@@ -11,6 +11,8 @@
 
 import os
 import resource
+import time
+from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 import structlog
@@ -54,6 +56,8 @@
         self._started_ms = engine.clock.now()
         self.machine.since_ms = self._started_ms
         self._lag_ms = 0.0
+        self.stepped_at = time.monotonic()  # when it was last stepped: a watchdog in another thread reads it
+        self.listeners: list[Callable[[Verdict], None]] = []  # told of each change, in this task
         self.verdict = self.machine.step(self.facts())
 
     def facts(self) -> Facts:
@@ -97,7 +101,10 @@
         before = self.verdict.state
         facts = self.facts()
         self.verdict = self.machine.step(facts)
+        self.stepped_at = time.monotonic()
         if self.verdict.state is not before:
+            for listener in self.listeners:
+                listener(self.verdict)
             log.info(
                 "health_changed",
                 state=self.verdict.state.value,
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -14,7 +14,7 @@
     "health": {"health"},  # beside routing: pure, it knows neither the engine nor any wire
     "program": {"transport", "protocol", "routing", "health", "program", "benchlink", *MODULE},
     "standins": {"standins"},  # stand-ins of outside systems know nothing of the program
-    "plugin": {"protocol", "routing", "program", "plugin", *MODULE},
+    "plugin": {"protocol", "routing", "health", "program", "plugin", *MODULE},
 }
 
 
