Count clients' places as a pressure of health, and test a load that leaves a drained proxy

Need: the issue's half-dead case "accept queue full": a proxy whose places for clients are taken still answers health checks, while new clients wait in the kernel's accept queue. And the stand-in balancer was to route a scripted load over several proxies, not only watch one.

Change: Facts and Thresholds gain clients/clients_limit (enter 0.95, leave 0.8, `clients` in the KDL file); the daemon passes the platform front's listener count and its places (new Listener.most). New loopback tests: 31 of 32 places held by idle connections takes the proxy out with cause "clients' connections 31 of 32" and it comes back once they close; two proxies behind one agent-check balancer at 40 requests a second, the first told SIGTERM after 1 s: the balancer takes it out, the rest goes to the second, all 120 requests answered RESULT, exit code 0.

--- a/starlinghaven/health/model.py
+++ b/starlinghaven/health/model.py
@@ -13,9 +13,9 @@
                                             overloaded
     any --no store reachable--> unavailable;  any --SIGTERM--> draining --quiet--> stopped
 
-Hysteresis: a pressure (queue, open requests, descriptors, loop lag) enters `overloaded` at its
-`enter` level and leaves it only once every pressure is at or below its `leave` level for
-`calm_ms`; a move into a serving state waits until the current state has lasted `hold_ms`, while
+Hysteresis: a pressure (queue, open requests, descriptors, clients' connections, loop lag) enters
+`overloaded` at its `enter` level and leaves it only once every pressure is at or below its `leave`
+level for `calm_ms`; a move into a serving state waits until the current state has lasted `hold_ms`, while
 bad news is said at once. Draining and stopped are never left and are taken at once: a balancer
 must hear of a drain before connections close.
 
@@ -70,6 +70,8 @@
     open_limit: int = 0
     fds: int = 0  # descriptors in use
     fds_limit: int = 0
+    clients: int = 0  # clients' connections held; at the limit, new ones wait in the accept queue
+    clients_limit: int = 0
     lag_ms: float = 0.0  # how late the event loop wakes, lately
     engine_idle_ms: float = 0.0  # since the engine last took an event while some were waiting
     unserved: float = 0.0  # share of recent answers that did not serve, 0 to 1
@@ -92,6 +94,7 @@
     queue: Level = Level(0.9, 0.5)  # share of the engine's queue
     open: Level = Level(0.9, 0.7)  # share of the requests held at once
     fds: Level = Level(0.9, 0.8)  # share of RLIMIT_NOFILE
+    clients: Level = Level(0.95, 0.8)  # share of the places for clients' connections
     lag_ms: Level = Level(250.0, 50.0)  # event-loop lag
     stall_ms: float = 1000.0  # engine not turning while events wait: unavailable
     min_reachable: float = 0.01  # share of own stores reachable below which the proxy is unavailable
@@ -105,7 +108,7 @@
     def check(self) -> list[str]:
         """Reasons why these thresholds are unusable; empty if they are fine."""
         wrong = []
-        for name in ("queue", "open", "fds"):
+        for name in ("queue", "open", "fds", "clients"):
             level: Level = getattr(self, name)
             if not 0.0 < level.leave <= level.enter <= 1.0:
                 wrong.append(
@@ -223,6 +226,7 @@
             ("queue", f.queue, f.queue_limit, t.queue),
             ("open requests", f.open, f.open_limit, t.open),
             ("descriptors", f.fds, f.fds_limit, t.fds),
+            ("clients' connections", f.clients, f.clients_limit, t.clients),
         ):
             if limit and used / limit >= level.enter:
                 return f"{name} {used} of {limit}"
@@ -236,6 +240,7 @@
             (f.queue, f.queue_limit, t.queue),
             (f.open, f.open_limit, t.open),
             (f.fds, f.fds_limit, t.fds),
+            (f.clients, f.clients_limit, t.clients),
         )
         low = all(not limit or used / limit <= level.leave for used, limit, level in shares)
         return low and f.lag_ms <= t.lag_ms.leave
--- a/starlinghaven/health/settings.py
+++ b/starlinghaven/health/settings.py
@@ -6,6 +6,7 @@
         queue enter=0.9 leave=0.5       // shares of the engine's queue
         open enter=0.9 leave=0.7        // of the requests held at once
         fds enter=0.9 leave=0.8         // of RLIMIT_NOFILE
+        clients enter=0.95 leave=0.8    // of the places for clients' connections
         lag-ms enter=250 leave=50       // event-loop lag, ms
         stall-ms 1000
         min-reachable 0.01
@@ -31,7 +32,7 @@
 
 from starlinghaven.health.model import Level, Thresholds
 
-LEVELS = {"queue", "open", "fds", "lag-ms"}
+LEVELS = {"queue", "open", "fds", "clients", "lag-ms"}
 SCALARS = {
     f.name.replace("_", "-"): f.name for f in fields(Thresholds) if f.name.replace("_", "-") not in LEVELS
 }
--- a/starlinghaven/program/daemon.py
+++ b/starlinghaven/program/daemon.py
@@ -56,7 +56,7 @@
             from starlinghaven.program.health import HealthService
 
             limits = settings.load(options.rules) if options.rules else Thresholds()
-            self.health = HealthService(core.engine, core.log, limits)
+            self.health = HealthService(core.engine, core.log, limits, self._places)
         self._agent: Listener | None = None
         if options.signed:
             from starlinghaven.program.signed import SignedFront
@@ -77,6 +77,11 @@
                 self._listeners[-1], core.engine, cfg.classes, core.counters, self.handover
             )
 
+    def _places(self) -> tuple[int, int]:
+        """Clients' connections held by the platform's front, and the places for them."""
+        front = self._listeners[0]
+        return front.count, front.most
+
     @property
     def _clients(self) -> list[Peers]:
         """Connections of all fronts; operators' ones are not among them."""
--- a/starlinghaven/program/health.py
+++ b/starlinghaven/program/health.py
@@ -50,8 +50,15 @@
 class HealthService:
     """The one owner of the health state machine of this process."""
 
-    def __init__(self, engine: Engine, changelog: ChangeLog | None, limits: Thresholds) -> None:
-        self._engine, self._log = engine, changelog
+    def __init__(
+        self,
+        engine: Engine,
+        changelog: ChangeLog | None,
+        limits: Thresholds,
+        clients: Callable[[], tuple[int, int]] | None = None,
+    ) -> None:
+        """`clients` says clients' connections held and the places for them, where there are fronts."""
+        self._engine, self._log, self._clients = engine, changelog, clients
         self.machine = Health(limits)
         self._started_ms = engine.clock.now()
         self.machine.since_ms = self._started_ms
@@ -72,6 +79,7 @@
             source = ListSource.INHERITED
         waiting = e.waiting
         fds, fds_limit = descriptors()
+        clients, clients_limit = self._clients() if self._clients else (0, 0)
         return Facts(
             at_ms=now,
             source=source,
@@ -85,6 +93,8 @@
             open_limit=engines.MOST_OPEN,
             fds=fds,
             fds_limit=fds_limit,
+            clients=clients,
+            clients_limit=clients_limit,
             lag_ms=self._lag_ms,
             engine_idle_ms=now - e.turned_at if waiting else 0.0,
             unserved=e.unserved(),
--- a/starlinghaven/transport/listener.py
+++ b/starlinghaven/transport/listener.py
@@ -44,6 +44,11 @@
         self.port = 0
         self._left = trio.Event()  # a connection has ended
 
+    @property
+    def most(self) -> int:
+        """Connections held at once; beyond it, new ones wait in the kernel's accept queue."""
+        return self._most
+
     async def open(self) -> None:
         if self._passed is not None:
             self._sock = trio.socket.from_stdlib_socket(socket.socket(fileno=self._passed))
--- a/tests/test_balancer_health.py
+++ b/tests/test_balancer_health.py
@@ -36,7 +36,7 @@
 
 @asynccontextmanager
 async def proxy(
-    folder: Path, warming_ms: int = 5000, changelog: str = "", console: int = 0
+    folder: Path, warming_ms: int = 5000, changelog: str = "", console: int = 0, sockets: int = 1024
 ) -> AsyncIterator[tuple[Program, dict[str, int]]]:
     ports = {"agent": free_port(), "health": free_port()}
     rules = folder / "health.kdl"
@@ -44,7 +44,8 @@
     (folder / "operator.toml").write_text(OPERATOR.format(rules=rules, **ports))
     named = str(folder / "operator.toml")
     door = f"127.0.0.1:{console}" if console else ""
-    async with program(folder, changelog, STARLINGHAVEN_OPERATOR=named, LB_CONSOLE=door) as p:
+    more = {"limits": {"cores": 1.0, "memory_mb": 192, "sockets": sockets}}
+    async with program(folder, changelog, more=more, STARLINGHAVEN_OPERATOR=named, LB_CONSOLE=door) as p:
         yield p, ports
 
 
@@ -155,3 +156,62 @@
         told = changes(p)
         assert [c["state"] for c in told] == ["warming", "ready"], told
         assert told[0]["cause"] == "old list, 0 of 1 stores heard from"
+
+
+@in_trio
+async def test_a_proxy_whose_places_for_clients_are_full_is_taken_out_and_back(tmp_path: Path) -> None:
+    async with proxy(tmp_path, sockets=64) as (p, ports), trio.open_nursery() as nursery:
+        agent, http = balancers(ports)
+        await nursery.start(agent.run)
+        await nursery.start(http.run)
+        await taken_in(agent, http)
+        since = trio.current_time()
+        crowd = [await trio.open_tcp_stream("127.0.0.1", p.port) for _ in range(31)]  # of 32 places
+        await removal_s(since, agent, http)
+        assert agent.servers[0].said == "drain"
+        told = changes(p)[-1]
+        assert told["state"] == "overloaded" and told["cause"] == "clients' connections 31 of 32", told
+        for stream in crowd:
+            await stream.aclose()
+        await taken_in(agent, http)
+        client = await p.client()
+        assert (await client.call())[1] == b"RESULT"
+        nursery.cancel_scope.cancel()
+
+
+@in_trio
+async def test_a_scripted_load_leaves_a_draining_proxy_and_nothing_is_lost(tmp_path: Path) -> None:
+    """Two proxies behind one stand-in agent-check balancer; the first is told to stop amid the load."""
+    (tmp_path / "a").mkdir()
+    (tmp_path / "b").mkdir()
+    async with proxy(tmp_path / "a") as (a, ports_a), proxy(tmp_path / "b") as (b, ports_b):
+        agent = Balancer(
+            [Server("a", "127.0.0.1", ports_a["agent"]), Server("b", "127.0.0.1", ports_b["agent"])],
+            kind="agent",
+            rise=1,
+        )
+        sent: dict[str, list[float]] = {"a": [], "b": []}
+        answers: list[bytes] = []
+        async with trio.open_nursery() as nursery:
+            await nursery.start(agent.run)
+            with trio.fail_after(BOUND_S):
+                while not all(s.takes_work for s in agent.servers):
+                    await trio.sleep(0.01)
+            clients = {"a": await a.client(), "b": await b.client()}
+            stopped_at = 0.0
+            for n in range(120):  # 40 requests a second for 3 s
+                if n == 40:
+                    stopped_at = trio.current_time()
+                    a.process.send_signal(signal.SIGTERM)
+                chosen = agent.pick()
+                assert chosen is not None, "one proxy is always there"
+                sent[chosen.name].append(trio.current_time())
+                answer = await clients[chosen.name].call()
+                answers.append(answer[1])
+                await trio.sleep(0.025)
+            nursery.cancel_scope.cancel()
+        removed = agent.removed_at("a", stopped_at)
+        assert removed is not None and removed - stopped_at < BOUND_S
+        assert not [t for t in sent["a"] if t > removed], "no new work after the balancer took it out"
+        assert len(sent["b"]) > 60 and set(answers) == {b"RESULT"}, "each request got its one answer"
+        assert await a.exit_code() == 0
--- a/tests/test_health_model.py
+++ b/tests/test_health_model.py
@@ -52,6 +52,7 @@
         ({"open": 2000}, State.OVERLOADED),
         ({"fds": 1000}, State.OVERLOADED),
         ({"lag_ms": 400.0}, State.OVERLOADED),
+        ({"clients": 31, "clients_limit": 32}, State.OVERLOADED),  # the next ones wait in the accept queue
     ):
         h = Health()
         assert h.step(at(WELL, 0.0)).state is State.READY
