--- a/starlinghaven/program/daemon.py
+++ b/starlinghaven/program/daemon.py
@@ -22,6 +22,7 @@
 from starlinghaven.transport.listener import Listener
 
 if TYPE_CHECKING:  # HTTP and tokens load only where they are switched on: a restart must be short
+    from starlinghaven.program.admission import AdmissionGate
     from starlinghaven.program.health import HealthService
     from starlinghaven.program.http import Handle, HttpServer
     from starlinghaven.program.signed import SignedFront
@@ -42,7 +43,13 @@
         extra = options.signed.connections if options.signed else 0
         core = self.core = Core(cfg, clients + extra)
         self.engine, self.counters = core.engine, core.counters
-        self._listeners = [Listener(cfg.listen, core.memory, clients, cfg.passed)]
+        self.gate: AdmissionGate | None = None
+        if options.admission:
+            from starlinghaven.admission import settings as admitting
+            from starlinghaven.program.admission import AdmissionGate
+
+            self.gate = AdmissionGate(admitting.load(options.admission), clients, core.counters)
+        self._listeners = [Listener(cfg.listen, core.memory, clients, cfg.passed, gate=self.gate)]
         self.handover = Handover(cfg.folder)
         self.front = PlatformFront(
             core.engine, cfg.settings, cfg.classes, self.state, self._listeners[0], core.counters
--- a/starlinghaven/program/operator.py
+++ b/starlinghaven/program/operator.py
@@ -57,6 +57,7 @@
     agent: str = ""  # address of the agent-check
     health: str = ""  # address of the HTTP health check
     rules: str = ""  # KDL file of health thresholds (starlinghaven.health.settings); empty: defaults
+    admission: str = ""  # KDL file of admission limits (starlinghaven.admission.settings); empty: off
 
 
 def load(path: str) -> Operator:
@@ -69,6 +70,7 @@
             agent=raw.get("agent", {}).get("listen", ""),
             health=raw.get("health", {}).get("listen", ""),
             rules=raw.get("health", {}).get("thresholds", ""),
+            admission=raw.get("admission", {}).get("limits", ""),
         )
     except (OSError, tomllib.TOMLDecodeError, KeyError, TypeError, AttributeError) as error:
         raise ValueError(f"{path}: {type(error).__name__}: {error}") from error
--- a/starlinghaven/transport/listener.py
+++ b/starlinghaven/transport/listener.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import contextlib
 import errno
 import logging
+import os
 import socket
 from collections.abc import Awaitable, Callable
+from typing import Protocol
 
 import trio
 
@@ -21,6 +24,16 @@
 """Serves one connection to its end."""
 
 
+class Gate(Protocol):
+    """Admission of new connections (see starlinghaven.admission): asked before a connection is served."""
+
+    def admit(self, address: str) -> object | None:
+        """A ticket for a connection from `address` (text; "" if unknown), or None to refuse it."""
+
+    def release(self, ticket: object) -> None:
+        """The connection of that ticket has ended."""
+
+
 def split_address(text: str) -> tuple[str, int]:
     """Host and port of HOST:PORT."""
     host, _, port = text.rpartition(":")
@@ -33,7 +46,13 @@
     """Owns the listening socket and counts the connections that came through it."""
 
     def __init__(
-        self, address: str, memory: Memory, most: int, passed: int | None = None, shared: bool = False
+        self,
+        address: str,
+        memory: Memory,
+        most: int,
+        passed: int | None = None,
+        shared: bool = False,
+        gate: Gate | None = None,
     ) -> None:
         self._address, self._memory, self._most = split_address(address), memory, most
         self._shared = shared  # another process may listen on the address too
@@ -41,6 +60,10 @@
         self._accepting = trio.CancelScope()
         self._nursery: trio.Nursery | None = None
         self.count = 0
+        self.gate = gate  # asked of every accepted connection, where there is one
+        self.refused = 0  # connections that the gate closed at once
+        self.shed = 0  # connections accepted only to be closed, when descriptors ran out
+        self._spare: int | None = None  # a descriptor kept to accept and close with, at EMFILE
         self.port = 0
         self._left = trio.Event()  # a connection has ended
 
@@ -61,6 +84,33 @@
         await self._sock.bind(self._address)
         self._sock.listen(BACKLOG)
         self.port = self._sock.getsockname()[1]
+        self._keep_spare()
+
+    def _keep_spare(self) -> None:
+        """Holds one descriptor in reserve where a gate is set: see `_shed`."""
+        if self.gate is not None and self._spare is None:
+            with contextlib.suppress(OSError):
+                self._spare = os.open(os.devnull, os.O_RDONLY)
+
+    async def _shed(self) -> bool:
+        """At EMFILE/ENFILE: gives up the spare, accepts the waiting client and closes it at once.
+
+        Guards against a full accept queue in which clients wait for seconds with no answer; a close
+        tells them at once to go elsewhere. Whether one was shed.
+        """
+        if self._spare is None:
+            return False
+        os.close(self._spare)
+        self._spare = None
+        try:
+            with trio.move_on_after(0):
+                sock, _ = await self._sock.accept()
+                sock.close()
+                self.shed += 1
+        except OSError:
+            pass
+        self._keep_spare()
+        return True
 
     async def run(self, serve: Serve, make_room: Callable[[], bool]) -> None:
         """Accepts until cancelled. At the limit `make_room` closes an idle connection, if there is one.
@@ -99,14 +149,36 @@
                                            errno.ECONNABORTED):
                         raise
                     log.warning("accept failed: %s", error)
+                    if error.errno in (errno.EMFILE, errno.ENFILE) and await self._shed():
+                        continue
                     await trio.sleep(PAUSE_S)
                     continue
+                ticket = self._ticket(sock)
+                if ticket is None:
+                    continue
                 self.count += 1
-                nursery.start_soon(self._one, sock, serve)
+                nursery.start_soon(self._one, sock, serve, ticket)
         finally:
             self._sock.close()
-
-    async def _one(self, sock: trio.socket.SocketType, serve: Serve) -> None:
+            if self._spare is not None:
+                os.close(self._spare)
+                self._spare = None
+
+    def _ticket(self, sock: trio.socket.SocketType) -> object | None:
+        """What the gate says of a new connection; None: it was refused and is closed."""
+        if self.gate is None:
+            return True
+        try:
+            address = sock.getpeername()[0]
+        except OSError:
+            address = ""
+        ticket = self.gate.admit(address)
+        if ticket is None:
+            self.refused += 1
+            sock.close()
+        return ticket
+
+    async def _one(self, sock: trio.socket.SocketType, serve: Serve, ticket: object = True) -> None:
         try:
             try:
                 connection = Connection(sock, self._memory)
@@ -118,3 +190,5 @@
         finally:
             self.count -= 1
             self._left.set()
+            if self.gate is not None:
+                self.gate.release(ticket)
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -12,7 +12,8 @@
     "protocol": {"transport", "protocol"},
     "routing": {"protocol", "routing", *MODULE} - {"protocol"},
     "health": {"health"},  # beside routing: pure, it knows neither the engine nor any wire
-    "program": {"transport", "protocol", "routing", "health", "program", "benchlink", *MODULE},
+    "admission": {"admission"},  # beside routing: pure, like health
+    "program": {"transport", "protocol", "routing", "health", "admission", "program", "benchlink", *MODULE},
     "standins": {"standins"},  # stand-ins of outside systems know nothing of the program
     "plugin": {"protocol", "routing", "health", "program", "plugin", *MODULE},
 }
