--- a/starlinghaven/admission/policy.py
+++ b/starlinghaven/admission/policy.py
@@ -27,12 +27,16 @@
 
 from __future__ import annotations
 
+import bisect
 import enum
 from collections import OrderedDict
 from dataclasses import dataclass, field
+from typing import TypeVar
 
 import netaddr
 
+K = TypeVar("K")
+
 
 class Why(enum.Enum):
     FULL = "no place left"
@@ -109,15 +113,20 @@
     limits: Limits = field(default_factory=Limits)
     open: int = 0  # connections held now
     by_address: dict[str, int] = field(default_factory=dict)
-    by_prefix: dict[str, int] = field(default_factory=dict)
+    by_prefix: dict[tuple[int, int], int] = field(default_factory=dict)  # (IP version, network) -> count
     _recent: OrderedDict[str, float] = field(default_factory=OrderedDict)  # known by use, oldest first
-    _buckets: OrderedDict[str, _Bucket] = field(default_factory=OrderedDict)
-    _allowed: netaddr.IPSet = field(init=False)
+    _buckets: OrderedDict[tuple[int, int], _Bucket] = field(default_factory=OrderedDict)
+    _starts: dict[int, list[int]] = field(init=False)  # the allow-list as merged ranges, by IP version
+    _ends: dict[int, list[int]] = field(init=False)
 
     def __post_init__(self) -> None:
         if wrong := self.limits.check():
             raise ValueError("; ".join(wrong))
-        self._allowed = netaddr.IPSet(self.limits.known)
+        # IPSet merges the list; membership is then a bisection (IPSet's own test costs some 40 us)
+        self._starts, self._ends = {4: [], 6: []}, {4: [], 6: []}
+        for span in netaddr.IPSet(self.limits.known).iter_ipranges():
+            self._starts[span.version].append(span.first)
+            self._ends[span.version].append(span.last)
 
     # -- what the listener asks -------------------------------------------------------------------
 
@@ -163,7 +172,9 @@
             self._recent.popitem(last=False)
 
     def is_known(self, ip: netaddr.IPAddress, now_s: float) -> bool:
-        if ip in self._allowed:
+        value, starts = int(ip), self._starts[ip.version]
+        at = bisect.bisect_right(starts, value) - 1
+        if at >= 0 and value <= self._ends[ip.version][at]:
             return True
         seen = self._recent.get(str(ip))
         if seen is None:
@@ -180,11 +191,12 @@
 
     # -- inside ------------------------------------------------------------------------------------
 
-    def _prefix(self, ip: netaddr.IPAddress) -> str:
-        bits = self.limits.prefix_v4 if ip.version == 4 else self.limits.prefix_v6
-        return str(netaddr.IPNetwork(f"{ip}/{bits}").cidr)
+    def _prefix(self, ip: netaddr.IPAddress) -> tuple[int, int]:
+        if ip.version == 4:
+            return 4, int(ip) >> (32 - self.limits.prefix_v4)
+        return 6, int(ip) >> (128 - self.limits.prefix_v6)
 
-    def _take_token(self, prefix: str, now_s: float) -> float:
+    def _take_token(self, prefix: tuple[int, int], now_s: float) -> float:
         """Takes one token of the prefix's bucket; 0 if it had one, else seconds until it will."""
         t = self.limits
         bucket = self._buckets.get(prefix)
@@ -209,7 +221,7 @@
     return ip
 
 
-def _down(counts: dict[str, int], key: str) -> None:
+def _down(counts: dict[K, int], key: K) -> None:
     n = counts.get(key, 0) - 1
     if n > 0:
         counts[key] = n
