--- a/starlinghaven/standins/grpc_watch.py
+++ b/starlinghaven/standins/grpc_watch.py
@@ -15,13 +15,7 @@
 import grpc
 from grpc_health.v1 import health_pb2, health_pb2_grpc
 
-
-@dataclass(frozen=True, slots=True)
-class Change:
-    at: float  # time.monotonic(), seconds
-    server: str
-    takes_work: bool
-    said: str
+from starlinghaven.standins.balancer import Change  # `at` is time.monotonic() here
 
 
 @dataclass(slots=True)
