Count a client as known once a request of it is served, for admission's reserve

Need: the issue's hard case is a flood from one address while a known client reconnects; known clients were the allow-list only, since no front told admission of a served request.

Change: the platform front tells `served` (the peer's address, read once per connection by the new Connection.peer) of each request served or unchanged; the daemon links it to the gate where admission is on. Off, it costs one test of None per answer.

--- a/starlinghaven/program/admission.py
+++ b/starlinghaven/program/admission.py
@@ -48,4 +48,5 @@
 
     def served(self, source: str) -> None:
         """A request on a connection from `source` completed: it is a known client for a while."""
-        self.admission.served(source, trio.current_time())
+        if source:
+            self.admission.served(source, trio.current_time())
--- a/starlinghaven/program/daemon.py
+++ b/starlinghaven/program/daemon.py
@@ -54,6 +54,8 @@
         self.front = PlatformFront(
             core.engine, cfg.settings, cfg.classes, self.state, self._listeners[0], core.counters
         )
+        if self.gate is not None:
+            self.front.served = self.gate.served
         self.signed: SignedFront | None = None
         self.servers: list[HttpServer] = []
         self.health: HealthService | None = None
--- a/starlinghaven/program/platform.py
+++ b/starlinghaven/program/platform.py
@@ -60,8 +60,10 @@
         match answer.result:
             case Result.SERVED:
                 text = platform.served(self._tag, answer.body)
+                self._client.completed()
             case Result.UNCHANGED:
                 text = platform.unchanged(self._tag)
+                self._client.completed()
             case Result.REFUSED:
                 text = platform.refused(self._tag, answer.wait_ms)
             case Result.FAILED:
@@ -211,6 +213,11 @@
             return "size out of range"
         return ""
 
+    def completed(self) -> None:
+        """A request of this connection was served: admission may count its client as known."""
+        if self._front.served is not None:
+            self._front.served(self.connection.peer)
+
     def closes(self, tag: int, text: bytes) -> None:
         """Writes a request's final answer, unless its client has left."""
         if not self.open.pop(tag, None):
@@ -290,6 +297,7 @@
         self.peers = Peers(listener, self._connected)
         self.relay: Relay | None = None  # to a successor, which takes the connections over
         self.closed = False  # what still comes is refused: the program ends
+        self.served: Callable[[str], None] | None = None  # told the client's address of each request served
 
     async def hand_over(self, relay: Relay) -> None:
         """Accepts nothing more, and gives every connection to the process behind the relay."""
--- a/starlinghaven/transport/connection.py
+++ b/starlinghaven/transport/connection.py
@@ -49,6 +49,7 @@
         self._work = trio.Event()  # there is something to write, or to stop for
         self._room = trio.Event()  # the peer has read
         self._ending = False
+        self._peer: str | None = None  # the peer's address, once asked
         self._linger_s = 0.0  # after the last byte: seconds in which what still comes is read and dropped
         self._shunned_s: float | None = None
         self._detaching = False
@@ -95,6 +96,16 @@
         except OSError:
             return 0  # full, or broken: the writing task waits, or meets the error
 
+    @property
+    def peer(self) -> str:
+        """The peer's address as text; "" where the socket can't tell (closed, or not IP)."""
+        if self._peer is None:
+            try:
+                self._peer = str(self._sock.getpeername()[0])
+            except (OSError, IndexError, TypeError):
+                self._peer = ""
+        return self._peer
+
     def finish(self, linger_s: float = 0.0) -> None:
         """Closes once all that is queued has been written.
 
--- a/tests/test_admission_loopback.py
+++ b/tests/test_admission_loopback.py
@@ -50,6 +50,28 @@
             await stream.aclose()
 
 
+@in_trio
+async def test_a_client_that_was_served_is_known_when_it_reconnects_amid_a_flood(tmp_path: Path) -> None:
+    (tmp_path / "admission.kdl").write_text("admission {\n  per-address 20\n  reserve 0.5\n}\n")
+    (tmp_path / "operator.toml").write_text(f'[admission]\nlimits = "{tmp_path / "admission.kdl"}"\n')
+    more = {"limits": {"cores": 1.0, "memory_mb": 192, "sockets": 64}}
+    async with program(tmp_path, more=more, STARLINGHAVEN_OPERATOR=str(tmp_path / "operator.toml")) as p:
+        officer = Client(await trio.open_tcp_stream("127.0.0.1", p.port, local_address="127.0.0.3"))
+        assert (await officer.call())[1] == b"RESULT"
+        await officer.words.stream.aclose()
+        flood = [
+            await trio.open_tcp_stream("127.0.0.1", p.port, local_address="127.0.0.2") for _ in range(40)
+        ]
+        await trio.sleep(0.5)
+        stranger = await trio.open_tcp_stream("127.0.0.1", p.port, local_address="127.0.0.4")
+        await trio.sleep(0.2)
+        assert await closed(stranger), "an unknown client finds only the reserve left"
+        back = Client(await trio.open_tcp_stream("127.0.0.1", p.port, local_address="127.0.0.3"))
+        assert (await back.call())[1] == b"RESULT", "known by its served request, it takes the reserve"
+        for stream in flood:
+            await stream.aclose()
+
+
 def test_bad_admission_files_are_refused_with_their_reason() -> None:
     for text, reason in (
         ("admission { per-address 0; }", "per-address: at least 1"),
--- a/tests/test_models.py
+++ b/tests/test_models.py
@@ -95,7 +95,7 @@
         self.wire, self.posts, self.ring = Wire(), Posts(), Ring(Memory(1 << 24))
         front = SimpleNamespace(
             engine=self.posts, settings=SETTINGS, counters=Counters(), classes={"video": 0},
-            state=lambda: b"READY", closed=False,
+            state=lambda: b"READY", closed=False, served=None,
         )  # fmt: skip
         self.client = Client(cast(PlatformFront, front), cast(Connection, self.wire))
         self.state: dict[int, str] = {}
