Let proxies speak to each other, and add a fleet lab of real processes and faults

The membership core had no socket, the Router heard nothing of other proxies, and nothing could start many processes and break what lies between them.

Added: program/fleet.py, one task that owns the UDP socket, the member table and the news (off unless the operator's file has [fleet] and the settings allow peers); console calls members and stance; events Heard and PeerNews, action Tell.

Seen: seven cases with real processes pass, five of them again with the part that they guard taken out, which shows each time; 100 processes started at once all know each other and 90 know ten deaths.

--- a/starlinghaven/benchlink.py
+++ b/starlinghaven/benchlink.py
@@ -167,8 +167,8 @@
             switches = a.join | a.renew << 3
             out = {"msg": "AnswerFrom", "Req": a.request, "Store": a.store, "WithinMs": a.timeout_ms}
             return out | {"MissFrom": a.source, "Keep": a.keep, "HowOldMs": a.age_ms, "Switches": switches}
-        case i.Serve():
-            raise ValueError("no copy of its own is ever offered on this wire")
+        case i.Serve() | i.Tell():  # settings.tells is never set here
+            raise ValueError(f"{type(a).__name__} is not of this wire")
         case i.Refuse():
             return {"msg": "Reject", "Req": a.request, "WaitMs": a.wait_ms}
         case i.Fail():
--- a/starlinghaven/fleet/settings.py
+++ b/starlinghaven/fleet/settings.py
@@ -4,7 +4,7 @@
 
     fleet {
         period-ms 400
-        suspicion 1.25
+        suspicion 1.1
     }
 
 `load_text` raises `FleetSettingsError` naming the node and the reason; a file that breaks a rule of
@@ -29,7 +29,7 @@
     period_ms: float = 400.0  # between two probes of one member (SWIM's protocol period)
     timeout_ms: float = 160.0  # wait for a direct answer before others are asked to probe
     helpers: int = 3  # members asked to probe indirectly (SWIM's k)
-    suspicion: float = 1.25  # least suspicion time, in periods times log10 of the members (Lifeguard's alpha)
+    suspicion: float = 1.1  # least suspicion time, in periods times log10 of the members (Lifeguard's alpha)
     suspicion_most: float = 5.0  # the longest, as a multiple of the least (Lifeguard's beta)
     confirmations: int = 2  # distinct further accusers that bring it to the least (Lifeguard's K)
     health_most: int = 4  # most that the own poor health multiplies times by, less one (Lifeguard's S)
--- a/starlinghaven/fleet/swim.py
+++ b/starlinghaven/fleet/swim.py
@@ -313,8 +313,9 @@
             member.tried = True
             return
         self.counts["probes_failed"] += 1
-        # Lifeguard: helpers that say nothing at all accuse this process; those that say "no" speak for it.
-        self.health.worse(1 if not probe.nacks_due else min(probe.nacks_due - probe.nacks, 1))
+        # Lifeguard: helpers that say nothing accuse this process, those that say "no" speak for it. One "no"
+        # is enough here: where many have died at once, most helpers are silent because they are dead.
+        self.health.worse(0 if probe.nacks else 1)
         if member.status in (Status.ALIVE, Status.SUSPECT):
             self._suspect(probe.target, self.own, now, "no answer")
 
--- a/starlinghaven/interface.py
+++ b/starlinghaven/interface.py
@@ -135,6 +135,7 @@
     parent_cold_ms: float = 0.0
     parent_fall_multiple: float = 1.0
     purge_done_ms: float = 0.0
+    tells: bool = False  # other proxies hear what this one tells
 
 
 @dataclass(frozen=True, slots=True)
@@ -237,7 +238,16 @@
     token: int
 
 
-Event = Members | Request | Streaming | Outcome | Probed | Gone | Purge | Timer
+@dataclass(frozen=True, slots=True)
+class Heard:
+    """How many other proxies now say that a store answers nobody, and how many that it serves."""
+
+    store: str
+    silent: int
+    serving: int
+
+
+Event = Members | Request | Streaming | Outcome | Probed | Gone | Purge | Timer | Heard
 
 
 @dataclass(frozen=True, slots=True)
@@ -306,4 +316,12 @@
     """Subscribe to the list of stores, where it has to be asked for."""
 
 
-Action = Send | Get | Serve | Refuse | Fail | Cancel | SetTimer | Watch
+@dataclass(frozen=True, slots=True)
+class Tell:
+    """Tell other proxies that a store answers nobody, or that it serves again."""
+
+    store: str
+    silent: bool
+
+
+Action = Send | Get | Serve | Refuse | Fail | Cancel | SetTimer | Watch | Tell
--- a/starlinghaven/program/peers.py
+++ b/starlinghaven/program/clients.py
@@ -20,7 +20,7 @@
 SWEEP_S = 0.25  # seconds between two looks for connections whose time is over
 
 
-class Peer(Protocol):
+class ClientLink(Protocol):
     """One client's connection, as a front speaks on it."""
 
     connection: Connection
@@ -47,12 +47,12 @@
         """When, on time.monotonic(), it is closed if nothing is owed on it until then."""
 
 
-class Peers:
+class Clients:
     """Owns a listener and the connections that came through it."""
 
-    def __init__(self, listener: Listener, make: Callable[[Connection], Peer]) -> None:
+    def __init__(self, listener: Listener, make: Callable[[Connection], ClientLink]) -> None:
         self._listener, self._make = listener, make
-        self._peers: set[Peer] = set()
+        self._links: set[ClientLink] = set()
         self._nursery: trio.Nursery | None = None
 
     async def run(self) -> None:
@@ -62,23 +62,23 @@
             while True:
                 await trio.sleep(SWEEP_S)
                 now = time.monotonic()
-                for peer in self._idle():
-                    if peer.ends_at < now:
-                        peer.connection.finish()
+                for link in self._idle():
+                    if link.ends_at < now:
+                        link.connection.finish()
 
     @property
     def nursery(self) -> trio.Nursery:
-        """For work of a peer that goes on beside its reading."""
+        """For work of a link that goes on beside its reading."""
         assert self._nursery is not None
         return self._nursery
 
     @property
-    def all(self) -> list[Peer]:
-        return list(self._peers)
+    def all(self) -> list[ClientLink]:
+        return list(self._links)
 
     @property
     def unsent(self) -> int:
-        return sum(p.connection.unsent for p in self._peers)
+        return sum(p.connection.unsent for p in self._links)
 
     async def retire(self) -> None:
         """Accepts nothing more, closes each connection when nothing is open on it, and waits for the last.
@@ -86,17 +86,17 @@
         Guards requests on their way: one that has been read or waits to be read keeps its connection.
         """
         self.stop()
-        while self._peers:
-            for peer in self._idle():
-                if not peer.amid and not peer.connection.pending:
-                    peer.connection.finish()
+        while self._links:
+            for link in self._idle():
+                if not link.amid and not link.connection.pending:
+                    link.connection.finish()
             await trio.sleep(RETIRE_S)
 
     def stop(self) -> None:
         """Accepts nothing more."""
         self._listener.stop()
 
-    def adopt(self, sock: trio.socket.SocketType, make: Callable[[Connection], Peer]) -> None:
+    def adopt(self, sock: trio.socket.SocketType, make: Callable[[Connection], ClientLink]) -> None:
         """Serves a connection that another process accepted."""
 
         async def serve(connection: Connection) -> None:
@@ -104,8 +104,8 @@
 
         self._listener.adopt(sock, serve)
 
-    def _idle(self) -> list[Peer]:
-        return [p for p in self._peers if not p.busy and not p.connection.unsent]
+    def _idle(self) -> list[ClientLink]:
+        return [p for p in self._links if not p.busy and not p.connection.unsent]
 
     def _close_idlest(self) -> bool:
         """Guards clients that take long to write: one that was answered and rests loses nothing."""
@@ -116,14 +116,16 @@
         min(rested or idle, key=lambda p: p.ends_at).connection.abort()
         return True  # its place is free once it has closed
 
-    async def _serve(self, connection: Connection, make: Callable[[Connection], Peer] | None = None) -> None:
-        peer = (make or self._make)(connection)
-        self._peers.add(peer)
+    async def _serve(
+        self, connection: Connection, make: Callable[[Connection], ClientLink] | None = None
+    ) -> None:
+        link = (make or self._make)(connection)
+        self._links.add(link)
         try:
-            await connection.serve(peer.feed)
+            await connection.serve(link.feed)
         except Exception:  # one client's trouble must not end the others
             log.exception("a client's connection failed")
         finally:
-            self._peers.remove(peer)
+            self._links.remove(link)
             with trio.CancelScope(shield=True):
-                await peer.leave()
+                await link.leave()
--- a/starlinghaven/program/config.py
+++ b/starlinghaven/program/config.py
@@ -39,6 +39,9 @@
     link: float = 0.0
     console: str = ""  # address of the operators' console
     passed: int | None = None  # descriptor of the clients' listening socket, where the platform holds it
+    peer_listen: str = ""  # address on which other proxies' datagrams come in; empty: none are sent
+    peers: tuple[str, ...] = ()  # addresses of all proxies, in the order of their numbers
+    own_number: int = 0  # which of them is this one
     folder: str = ""  # what may be written, shared with the process that takes this one's place
 
 
@@ -55,6 +58,19 @@
         raise ConfigError(f"{path}: {type(error).__name__}: {error}") from error
 
 
+def _peers(raw: dict[str, Any], settings: dict[str, Any]) -> dict[str, Any]:
+    """Where other proxies are, if the settings allow datagrams between them."""
+    listen, peers = raw.get("peer_listen") or "", raw.get("peers") or []
+    if not settings.get("PolicyLimits", {}).get("Peers", False) or not listen or len(peers) < 2:
+        return {}
+    for address in (listen, *peers):
+        split_address(address)
+    number = int(settings.get("Me", 0))
+    if not 0 <= number < len(peers):
+        raise ValueError(f"peers: {len(peers)} addresses, and this is number {number}")
+    return {"peer_listen": listen, "peers": tuple(peers), "own_number": number}
+
+
 def parse(raw: dict[str, Any], env: Mapping[str, str]) -> Config:
     settings, limits = raw["settings"], raw.get("limits", {})
     listen, log_address = env.get("LB_LISTEN") or raw["listen"], raw.get("changelog") or ""
@@ -84,4 +100,5 @@
         console=console,
         passed=int(passed) if passed else None,
         folder=env.get("TMPDIR", ""),
+        **_peers(raw, settings),
     )
--- a/starlinghaven/program/console.py
+++ b/starlinghaven/program/console.py
@@ -6,11 +6,12 @@
 import math
 import time
 from collections.abc import Iterator
+from typing import TYPE_CHECKING
 
 import trio
 
+from starlinghaven.program.clients import Clients
 from starlinghaven.program.handover import Handover
-from starlinghaven.program.peers import Peers
 from starlinghaven.protocol import ProtocolError, console
 from starlinghaven.routing.engine import Engine
 from starlinghaven.routing.types import Counters, Hand
@@ -18,6 +19,9 @@
 from starlinghaven.transport.listener import Listener
 from starlinghaven.transport.ring import Ring
 
+if TYPE_CHECKING:
+    from starlinghaven.program.fleet import Fleet
+
 log = logging.getLogger(__name__)
 
 PLACES = 16  # connections at once; some callers never finish a call
@@ -59,11 +63,12 @@
 
     def __init__(
         self, listener: Listener, engine: Engine, classes: tuple[str, ...], counters: Counters,
-        handover: Handover,
+        handover: Handover, fleet: Fleet | None = None,
     ) -> None:  # fmt: skip
+        self._fleet = fleet
         self._engine, self._classes, self._counters = engine, classes, counters
         self._handover = handover
-        self.peers = Peers(listener, lambda connection: _Caller(self, connection))
+        self.clients = Clients(listener, lambda connection: _Caller(self, connection))
 
     async def answer(self, call: console.Call) -> bytes:
         match call.verb:
@@ -72,6 +77,12 @@
                 return console.yes("ready") if ready else console.no(self._engine.state)
             case "telemetry":
                 return console.figures(self._figures())
+            case "members" | "stance" if self._fleet is None:
+                return console.no("no peers")
+            case "members" if self._fleet is not None:
+                return console.lines(self._fleet.member_lines())
+            case "stance" if self._fleet is not None:
+                return console.lines(self._fleet.stance_lines())
         out = call.verb == "exclude"
         hand = Hand(call.store, out, 1000.0 * time.time())
         if not await self._told(hand):
--- a/starlinghaven/program/core.py
+++ b/starlinghaven/program/core.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 import trio
 
 from starlinghaven.program import changelog, config
@@ -22,7 +24,7 @@
 class Core:
     """Everything but the fronts. Made inside trio's loop."""
 
-    def __init__(self, cfg: config.Config, front_sockets: int) -> None:
+    def __init__(self, cfg: config.Config, front_sockets: int, tells: bool = False) -> None:
         self.cfg = cfg
         self.counters = Counters()
         # Guards the limits in an upgrade: for a while two processes share what is allowed to one.
@@ -32,7 +34,8 @@
         if cfg.flow > 0 and cfg.link > 0:  # else the platform allows no copies of its own
             spare = max(cfg.memory_bytes / processes - PROCESS, 0) / 2
             copies = Copies(int(min(cfg.memory_bytes * COPIES, spare)), cfg.flow, cfg.link, clock)
-        self.engine = Engine(cfg.settings, cfg.seed, clock, self.counters, copies)
+        settings = replace(cfg.settings, tells=tells)
+        self.engine = Engine(settings, cfg.seed, clock, self.counters, copies)
         self.caches = Caches(
             self.engine,
             cfg.classes,
--- a/starlinghaven/program/daemon.py
+++ b/starlinghaven/program/daemon.py
@@ -13,16 +13,17 @@
 import trio
 
 from starlinghaven.program import config, logs, operator, relay
+from starlinghaven.program.clients import Clients
 from starlinghaven.program.console import PLACES, Console
 from starlinghaven.program.core import Core
 from starlinghaven.program.handover import Handover
-from starlinghaven.program.peers import Peers
 from starlinghaven.program.platform import PlatformFront
 from starlinghaven.protocol import platform
 from starlinghaven.transport.listener import Listener
 
 if TYPE_CHECKING:  # HTTP and tokens load only where they are switched on: a restart must be short
     from starlinghaven.program.admission import AdmissionGate
+    from starlinghaven.program.fleet import Fleet
     from starlinghaven.program.health import HealthService
     from starlinghaven.program.http import Handle, HttpServer
     from starlinghaven.program.signed import SignedFront
@@ -41,7 +42,7 @@
     def __init__(self, cfg: config.Config, options: operator.Operator) -> None:
         clients = cfg.sockets // 2  # usual ones hold a third of all at most; the rest is for the others
         extra = options.signed.connections if options.signed else 0
-        core = self.core = Core(cfg, clients + extra)
+        core = self.core = Core(cfg, clients + extra, tells=options.fleet and bool(cfg.peer_listen))
         self.engine, self.counters = core.engine, core.counters
         self.gate: AdmissionGate | None = None
         if options.admission:
@@ -79,11 +80,18 @@
         if options.agent:
             self._agent = self._listener(options.agent, CHECKS)
             self._listeners.append(self._agent)
+        self.fleet: Fleet | None = None
+        if options.fleet and cfg.peer_listen:
+            from starlinghaven.fleet import settings as fleet_settings
+            from starlinghaven.program.fleet import Fleet
+
+            bounds = fleet_settings.load(options.fleet_limits) if options.fleet_limits else None
+            self.fleet = Fleet(cfg, core.engine, core.counters, bounds or fleet_settings.Limits())
         self.console: Console | None = None
         if cfg.console:
             self._listeners.append(Listener(cfg.console, core.memory, PLACES))
             self.console = Console(
-                self._listeners[-1], core.engine, cfg.classes, core.counters, self.handover
+                self._listeners[-1], core.engine, cfg.classes, core.counters, self.handover, self.fleet
             )
 
     def _places(self) -> tuple[int, int]:
@@ -92,9 +100,9 @@
         return front.count, front.most
 
     @property
-    def _clients(self) -> list[Peers]:
+    def _clients(self) -> list[Clients]:
         """Connections of all fronts; operators' ones are not among them."""
-        return [self.front.peers, *(server.peers for server in self.servers)]
+        return [self.front.clients, *(server.clients for server in self.servers)]
 
     def _listener(self, address: str, most: int) -> Listener:
         """One of an operator's addresses: both processes of an upgrade listen there for a while."""
@@ -119,10 +127,12 @@
                 for listener in self._listeners:
                     await listener.open()
                 nursery.start_soon(self.handover.run, self.engine)
-                for peers in self._clients:
-                    nursery.start_soon(peers.run)
+                for clients in self._clients:
+                    nursery.start_soon(clients.run)
+                if self.fleet:
+                    await nursery.start(self.fleet.run)
                 if self.console:
-                    nursery.start_soon(self.console.peers.run)
+                    nursery.start_soon(self.console.clients.run)
                 if self.health:
                     nursery.start_soon(self.health.run)
                     if self._agent:
@@ -144,6 +154,8 @@
                     else:
                         break
                 await self._drain(nursery)
+                if self.fleet:
+                    self.fleet.leave()
                 nursery.cancel_scope.cancel()
         log.info("counters %s", self.counters.line())
         log.info("stopped")
@@ -176,17 +188,17 @@
                     nursery.start_soon(giver.run)
                 async with trio.open_nursery() as leaving:
                     for server in self.servers:
-                        leaving.start_soon(server.peers.retire)
+                        leaving.start_soon(server.clients.retire)
                     if giver:
                         leaving.start_soon(self.front.hand_over, giver)
                     else:
-                        leaving.start_soon(self.front.peers.retire)
+                        leaving.start_soon(self.front.clients.retire)
             else:
                 await trio.sleep_forever()
         self.front.closed = True  # one that goes on asking must not keep the program from its end
         await self.engine.quiet()
         with trio.move_on_after(FLUSH_S):
-            while any(peers.unsent for peers in self._clients):
+            while any(clients.unsent for clients in self._clients):
                 await trio.sleep(0.005)
             if giver:
                 await giver.flushed()
--- /dev/null
+++ b/starlinghaven/program/fleet.py
@@ -0,0 +1,190 @@
+"""The socket between edge proxies: one task owns it, the member table and the news.
+
+The choices are all in `starlinghaven.fleet`; this drives them with datagrams and the clock, and passes
+what others say of stores to the engine's queue, where the Router weighs it.
+"""
+
+from __future__ import annotations
+
+import logging
+import socket
+from collections.abc import Iterator
+from random import Random
+from zlib import crc32
+
+import trio
+
+from starlinghaven.fleet.codec import MOST_BYTES, Status
+from starlinghaven.fleet.news import FactKind
+from starlinghaven.fleet.settings import Limits
+from starlinghaven.fleet.stance import Stance, Standing
+from starlinghaven.fleet.swim import Change, Membership
+from starlinghaven.fleet.universe import Universe
+from starlinghaven.program.config import Config
+from starlinghaven.routing.engine import Engine
+from starlinghaven.routing.types import Counters, PeerNews
+from starlinghaven.transport.listener import split_address
+
+log = logging.getLogger(__name__)
+
+TELLS = 64  # own words that may wait to be told
+LOOK_MS = 100.0  # between two looks at the stance and at the news
+BATCH = 64  # datagrams taken before timers are looked at again
+TOLD = (Status.FAILED, Status.LEFT)  # states whose changes are logged
+
+
+class Fleet:
+    """This proxy among its peers."""
+
+    def __init__(self, cfg: Config, engine: Engine, counters: Counters, limits: Limits) -> None:
+        """Errors: UniverseError for a list of peers that can't be used."""
+        addresses = [split_address(text) for text in cfg.peers]
+        self._universe = Universe(addresses, cfg.own_number)
+        self._listen, self._engine, self._counters = cfg.peer_listen, engine, counters
+        now = engine.clock.now()  # it began at the Unix time
+        self.core = Membership(self._universe, limits, Random(cfg.seed), now, now)
+        self.standing = Standing(limits, now)
+        self._tell_in, self._tell_out = trio.open_memory_channel[tuple[str, bool]](TELLS)
+        self._said: dict[str, tuple[int, int]] = {}  # what the engine was told last, by store
+        self._sock: trio.socket.SocketType | None = None
+        engine.tell = self._tell
+
+    def _tell(self, store: str, silent: bool) -> None:
+        """For the engine: never waits."""
+        try:
+            self._tell_in.send_nowait((store, silent))
+        except trio.WouldBlock:
+            self._counters.add("tells_dropped")
+
+    async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
+        """The one task. Ready when the socket is bound. Errors: OSError if it can't be."""
+        with trio.socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+            await sock.bind(split_address(self._listen))
+            self._sock = sock
+            task_status.started()
+            clock, look_at = self._engine.clock, 0.0
+            while True:
+                until = min(self.core.next_due(), look_at) - clock.now()
+                with trio.move_on_after(max(until, 0.0) / 1000):
+                    await trio.lowlevel.wait_readable(sock)
+                self._take(sock)
+                now = clock.now()
+                self._take_tells(now)
+                if self.core.next_due() <= now:
+                    self.core.advance(now)
+                await self._flush(sock)
+                for change in self.core.take_changes():
+                    self._log(change)
+                if look_at <= now:
+                    look_at = now + LOOK_MS
+                    await self._look(now)
+
+    def leave(self) -> None:
+        """Tells some peers that this proxy ends in order. Nothing is sent after that."""
+        self.core.leave(self._engine.clock.now())
+        for address, data in self.core.take_out():
+            self._send(address, data)
+
+    # -- the socket -------------------------------------------------------------------------------
+
+    def _take(self, sock: trio.socket.SocketType) -> None:
+        raw = self._raw(sock)
+        for _ in range(BATCH):
+            try:
+                data, source = raw.recvfrom(MOST_BYTES + 1)
+            except BlockingIOError:
+                return
+            except OSError:  # an ICMP error of an earlier send: who is not there shows by its silence
+                self._counters.add("peer_socket_errors")
+                continue
+            self.core.receive(data, source[:2], self._engine.clock.now())
+
+    async def _flush(self, sock: trio.socket.SocketType) -> None:
+        for address, data in self.core.take_out():
+            self._send(address, data)
+        await trio.lowlevel.checkpoint()
+
+    def _send(self, address: tuple[str, int], data: bytes) -> None:
+        """A datagram that can't be sent is one that was lost: the protocol bears it."""
+        assert self._sock is not None
+        try:
+            self._raw(self._sock).sendto(data, address)
+        except OSError:
+            self._counters.add("peer_sends_failed")
+
+    @staticmethod
+    def _raw(sock: trio.socket.SocketType) -> socket.socket:
+        """The socket below trio's, which is non-blocking: many datagrams are taken without a switch."""
+        return sock._sock  # type: ignore[attr-defined,no-any-return]
+
+    # -- news -------------------------------------------------------------------------------------
+
+    def _take_tells(self, now: float) -> None:
+        while True:
+            try:
+                store, silent = self._tell_out.receive_nowait()
+            except trio.WouldBlock:
+                return
+            self.core.news.tell(FactKind.SILENT if silent else FactKind.SERVES, subject_of(store), now)
+
+    async def _look(self, now: float) -> None:
+        """The stance, and what others say by now of the stores on the own list."""
+        before = self.standing.stance
+        stance = self.standing.look(self.core.members, self.core.heard_at, now)
+        if stance is not before:
+            self._counters.add(f"stance_{stance.name.lower()}")
+            log.info("stance %s after %s alive=%d of=%d", stance.value, before.value,
+                     self.core.count(Status.ALIVE), self.core.n)  # fmt: skip
+        if not self.core.news.fresh and not self._said:
+            return
+        self.core.news.fresh.clear()
+        permits, stores = self.standing.permits(self.core.members, now), self._engine.fleet_ids
+        alive = self.core.alive() if permits.news else set[int]()
+        for store in stores:
+            weighed = self.core.news.weigh(subject_of(store), len(stores), alive, now)
+            told = (weighed.silent, weighed.serving)
+            if told != self._said.get(store, (0, 0)):
+                self._said[store] = told
+                await self._engine.post(PeerNews(store, *told))
+        self._said = {s: told for s, told in self._said.items() if s in stores and told != (0, 0)}
+
+    # -- for operators ----------------------------------------------------------------------------
+
+    def _log(self, change: Change) -> None:
+        self._counters.add(f"peers_{change.after.name.lower()}")
+        if change.after in TOLD or change.before in TOLD or change.cause == "restarted":
+            host, port = self._universe.addresses[change.member]
+            log.info("peer %d at %s:%d %s after %s life=%d inc=%d: %s", change.member, host, port,
+                     change.after.name.lower(), change.before.name.lower(), change.life, change.inc,
+                     change.cause)  # fmt: skip
+
+    def member_lines(self) -> Iterator[str]:
+        """One line a member: number, address, status, life, incarnation, ms in that status."""
+        now = self._engine.clock.now()
+        for number, m in enumerate(self.core.members):
+            host, port = self._universe.addresses[number]
+            since = max(now - m.since, 0.0) if m.status is not Status.UNKNOWN else 0.0
+            own = " own" if number == self.core.own else ""
+            yield f"{number} {host}:{port} {m.status.name.lower()} {m.life} {m.inc} {since:.0f}{own}"
+
+    def stance_lines(self) -> Iterator[str]:
+        """The stance, what follows from it, and the counts of what was sent, taken and refused."""
+        now, core = self._engine.clock.now(), self.core
+        permits = self.standing.permits(core.members, now)
+        yield f"stance {self.standing.stance.value}"
+        yield f"since_ms {now - self.standing.since:.0f}"
+        yield f"alive {core.count(Status.ALIVE)} of {core.n}"
+        yield f"fleet_tasks {'yes' if permits.fleet_tasks else 'no'}"
+        yield f"sharers {permits.sharers}"
+        yield f"own_health {core.health.score}"
+        yield f"facts {len(core.news)}"
+        for name, n in sorted(core.counts.items()):
+            yield f"{name} {n}"
+
+
+def subject_of(store: str) -> int:
+    """A store's id as a fact names it."""
+    return crc32(store.encode())
+
+
+__all__ = ["Fleet", "Stance", "subject_of"]
--- a/starlinghaven/program/http.py
+++ b/starlinghaven/program/http.py
@@ -11,7 +11,7 @@
 
 import h11
 
-from starlinghaven.program.peers import Peers
+from starlinghaven.program.clients import Clients
 from starlinghaven.routing.types import Counters
 from starlinghaven.transport.connection import Connection
 from starlinghaven.transport.listener import Listener
@@ -44,19 +44,19 @@
 class Exchange:
     """One request and its one response. Compared by identity, so that it can be a ticket."""
 
-    def __init__(self, peer: HttpPeer, request: HttpRequest) -> None:
-        self.request, self._peer = request, peer
+    def __init__(self, client: HttpClient, request: HttpRequest) -> None:
+        self.request, self._client = request, client
         self.left: Callable[[], Awaitable[None]] | None = None  # what to do when the client leaves
 
     def respond(self, response: HttpResponse) -> None:
-        self._peer.respond(self, response)
+        self._client.respond(self, response)
 
 
 Handle = Callable[[Exchange], Awaitable[None]]
 """Takes a request. It responds to the exchange now or later."""
 
 
-class HttpPeer:
+class HttpClient:
     """One client's connection."""
 
     def __init__(self, server: HttpServer, connection: Connection) -> None:
@@ -182,7 +182,7 @@
 
     def __init__(self, listener: Listener, handle: Handle, counters: Counters) -> None:
         self.handle, self.counters = handle, counters
-        self.peers = Peers(listener, lambda connection: HttpPeer(self, connection))
+        self.clients = Clients(listener, lambda connection: HttpClient(self, connection))
 
     def soon(self, call: Callable[[], Awaitable[None]]) -> None:
-        self.peers.nursery.start_soon(call)
+        self.clients.nursery.start_soon(call)
--- a/starlinghaven/program/operator.py
+++ b/starlinghaven/program/operator.py
@@ -57,6 +57,8 @@
     agent: str = ""  # address of the agent-check
     health: str = ""  # address of the HTTP health check
     rules: str = ""  # KDL file of health thresholds (starlinghaven.health.settings); empty: defaults
+    fleet: bool = False  # whether proxies speak to each other, where the platform allows it
+    fleet_limits: str = ""  # KDL file of membership limits (starlinghaven.fleet.settings); empty: defaults
     admission: str = ""  # KDL file of admission limits (starlinghaven.admission.settings); empty: off
 
 
@@ -70,6 +72,8 @@
             agent=raw.get("agent", {}).get("listen", ""),
             health=raw.get("health", {}).get("listen", ""),
             rules=raw.get("health", {}).get("thresholds", ""),
+            fleet="fleet" in raw,
+            fleet_limits=raw.get("fleet", {}).get("limits", ""),
             admission=raw.get("admission", {}).get("limits", ""),
         )
     except (OSError, tomllib.TOMLDecodeError, KeyError, TypeError, AttributeError) as error:
--- a/starlinghaven/program/platform.py
+++ b/starlinghaven/program/platform.py
@@ -12,7 +12,7 @@
 import trio
 
 from starlinghaven import interface as i
-from starlinghaven.program.peers import Peers
+from starlinghaven.program.clients import Clients
 from starlinghaven.protocol import ProtocolError, handover, platform
 from starlinghaven.routing.engine import Engine
 from starlinghaven.routing.types import Answer, Ask, Counters, Left, Result, Taken
@@ -294,7 +294,7 @@
     ) -> None:
         self.engine, self.settings, self.state, self.counters = engine, settings, state, counters
         self.classes = {name: n for n, name in enumerate(classes)}
-        self.peers = Peers(listener, self._connected)
+        self.clients = Clients(listener, self._connected)
         self.relay: Relay | None = None  # to a successor, which takes the connections over
         self.closed = False  # what still comes is refused: the program ends
         self.served: Callable[[str], None] | None = None  # told the client's address of each request served
@@ -302,8 +302,8 @@
     async def hand_over(self, relay: Relay) -> None:
         """Accepts nothing more, and gives every connection to the process behind the relay."""
         self.relay = relay
-        self.peers.stop()
-        while clients := self.peers.all:
+        self.clients.stop()
+        while clients := self.clients.all:
             for client in clients:
                 client.connection.detach()
             await trio.sleep(HANDED_S)
@@ -317,7 +317,7 @@
             lender.taken(told.number, client)
             return client
 
-        self.peers.adopt(sock, make)
+        self.clients.adopt(sock, make)
 
     def _connected(self, connection: Connection) -> Client:
         self.counters.add("connections")
--- a/starlinghaven/protocol/console.py
+++ b/starlinghaven/protocol/console.py
@@ -11,7 +11,10 @@
 
 MOST_LINE = 256  # bytes of a call at most, its end included
 PREFIX = "edge_lb"
-CALLS = {"readyz": 0, "telemetry": 0, "exclude": 1, "include": 1}  # and how many words follow each
+CALLS = {  # and how many words follow each
+    **{"readyz": 0, "telemetry": 0, "members": 0, "stance": 0},
+    **{"exclude": 1, "include": 1},
+}
 _ID = re.compile(r"[0-9A-Za-z_.:-]{1,64}")
 
 
@@ -51,6 +54,11 @@
     return f"FAILURE {text}\n".encode()
 
 
+def lines(texts: Iterable[str]) -> bytes:
+    """Lines of text, then the line that ends them."""
+    return "".join(f"{text}\n" for text in texts).encode() + b"EOT\n"
+
+
 def figures(pairs: Iterable[tuple[str, int]]) -> bytes:
     """One figure a line, then the line that ends them."""
     return "".join(f"{PREFIX}.{name}={value}\n" for name, value in pairs).encode() + b"EOT\n"
--- a/starlinghaven/router.py
+++ b/starlinghaven/router.py
@@ -54,6 +54,7 @@
 SICK = 0.5  # share of bad outcomes from which a store is stepped over
 WELL = 0.15  # ... if another has at most this share, else the cause is shared
 CLEARLY = 0.5  # ... or at most this part of its share: beside one that seems dead, the other need only live
+VOICES = 2  # other proxies that make a store suspect here: one may be sick itself
 REST_MS, REST_MOST_MS = 500.0, 4_000.0  # ms that it rests, doubled each time up to the most
 FILL_SHARE = 0.3  # part of the good answers that came by way of the source, where no note tells
 TRIAL = 2  # attempts out at once at a store on trial after its rest
@@ -93,7 +94,7 @@
 
     __slots__ = (
         *("m", "out", "lent", "others", "busy", "hits", "told", "bad", "failed_at", "until", "rest"),
-        *("spent", "total", "free_at", "heard"),
+        *("spent", "total", "free_at", "heard", "named"),
     )
 
     def __init__(self, member: i.Member) -> None:
@@ -104,6 +105,7 @@
         self.hits, self.heard = 1 - FILL_SHARE, -math.inf  # share of hits, lately, and when reported
         self.busy = 1.0  # share of the requests held that keep it busy, the rest waits for fills
         self.bad, self.failed_at, self.until, self.rest = 0.0, -math.inf, -math.inf, REST_MS
+        self.named = 0  # other proxies that call it silent, less those that say it serves
         self.spent: deque[tuple[float, float]] = deque()  # cold budget: when and how much
         self.total = 0.0
         self.free_at = -math.inf  # where a share is less than a request: when the next may be sent
@@ -172,6 +174,7 @@
         self.unit = 1.0 if settings.weights in (i.Weights.NOMINAL, i.Weights.ROUGH) else FIRST_UNIT
         self.watching = not settings.asks_for_list
         self.delayed: dict[int, int] = {}  # timer token -> request
+        self.told: set[str] = set()  # stores that other proxies were told to be silent
         self.token = WATCH_TOKEN
 
     def handle(self, event: i.Event, now: float) -> list[i.Action]:
@@ -201,8 +204,20 @@
                     self._learn(store, event.report)
             case i.Timer():
                 self._due(event.token, out)
+            case i.Heard():
+                if store := self.stores.get(event.store):
+                    store.named = event.silent - event.serving
+        if self.s.tells:
+            self._tell(out)
         return out
 
+    def _tell(self, out: list[i.Action]) -> None:
+        """Tells other proxies of stores that begin to rest here, and of those that are well again."""
+        ill = {n for n, s in self.stores.items() if s.bad >= (SICK / 2 if n in self.told else SICK)}
+        ill &= self.told | self.resting()
+        out += [i.Tell(n, n in ill) for n in sorted(ill ^ self.told) if n in self.stores]
+        self.told = ill
+
     # -- popularity ---------------------------------------------------------------------------
 
     def _count(self, r: i.Request) -> None:
@@ -392,9 +407,13 @@
 
     @staticmethod
     def _worse(s: _Store | None, peers: list[_Store]) -> bool:
-        """Whether a store is sick and clearly worse than the best of its peers: the trouble is its own."""
+        """Whether a store is sick and clearly worse than the best of its peers: the trouble is its own.
+
+        Where other proxies name it silent, less of the own evidence will do; without any they are not heeded.
+        """
         best = min((p.bad for p in peers if p is not s), default=1.0)
-        return s is not None and s.bad >= SICK and best <= max(WELL, CLEARLY * s.bad)
+        sick = WELL if s is not None and s.named >= VOICES else SICK
+        return s is not None and s.bad >= sick and best <= max(WELL, CLEARLY * s.bad)
 
     def _late_fill(self, job: _Job) -> bool:
         """Whether a fill would come too late, for the location's link or for its source.
--- a/starlinghaven/routing/engine.py
+++ b/starlinghaven/routing/engine.py
@@ -6,6 +6,7 @@
 import itertools
 import logging
 import math
+from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 
 import trio
@@ -25,6 +26,7 @@
     FleetNews,
     Hand,
     Left,
+    PeerNews,
     PurgeNews,
     Result,
     Store,
@@ -74,6 +76,7 @@
         self._router = Router(settings, seed, clock.now())
         self._send, self._receive = trio.open_memory_channel[Event](QUEUE)
         self.caches: CacheSide | None = None
+        self.tell: Callable[[str, bool], None] | None = None  # to other proxies: store, silent; never waits
         self._open: dict[int, _Open] = {}
         self._numbers: dict[Ticket, int] = {}
         self._ids: set[str] = set()  # of the open requests
@@ -196,6 +199,10 @@
                 self._listed(event)
             case Hand():
                 self._by_hand(event)
+            case PeerNews():
+                if event.store in self._stores:  # never one that the own list has not named
+                    self.counters.add("peer_news")
+                    self._decide(i.Heard(event.store, event.silent, event.serving))
             case PurgeNews():
                 self.counters.add("purges")
                 if self._copies:
@@ -401,6 +408,10 @@
                         self._give_up(a, i.Code.CANCELLED)
                 case i.SetTimer():
                     self._at(self.clock.now() + action.delay_ms, action.token)
+                case i.Tell():
+                    self.counters.add("told_silent" if action.silent else "told_serving")
+                    if self.tell is not None:
+                        self.tell(action.store, action.silent)
 
     def _end(self, action: i.Refuse | i.Fail) -> None:
         request = self._open.get(action.request)
--- a/starlinghaven/routing/types.py
+++ b/starlinghaven/routing/types.py
@@ -154,7 +154,16 @@
     answer: Callable[[bool], None] | None = field(default=None, compare=False)
 
 
-Event = Taken | Left | Ended | FleetNews | PurgeNews | Hand
+@dataclass(frozen=True, slots=True)
+class PeerNews:
+    """What other proxies say of a store: how many that it is silent, how many that it serves."""
+
+    store: str
+    silent: int
+    serving: int
+
+
+Event = Taken | Left | Ended | FleetNews | PurgeNews | Hand | PeerNews
 
 
 class Counters:
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -35,6 +35,6 @@
 
 
 def test_requirements_are_pinned() -> None:
-    for name in ("requirements.txt", "requirements-dev.txt"):
-        lines = [s for s in (ROOT / name).read_text().splitlines() if s and not s.startswith("#")]
+    for name in ("requirements.txt", "requirements-dev.txt", "requirements-lab.txt"):
+        lines = [s for s in (ROOT / name).read_text().splitlines() if s and not s.startswith(("#", "-r "))]
         assert lines and all("==" in line for line in lines)
--- /dev/null
+++ b/tests/test_fleet_processes.py
@@ -0,0 +1,179 @@
+"""Real processes of the program with faults between them, judged on outcomes and counts.
+
+All cases of a group play side by side, each with its own processes on its own ports. A case whose part
+is taken out plays beside it, with the program started without that part, and must show the difference.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Sequence
+from pathlib import Path
+
+import pytest
+import trio
+
+from starlinghaven.lab import checks, scenario
+from starlinghaven.lab.history import Entry, read
+from starlinghaven.lab.rig import Rig
+
+MOST_S = 240.0
+CASES = {
+    "seven in ten": """scenario "x" { proxies 20; seconds 34; rate 1.0
+        at 2.0 { kill "0-13" }
+        at 22.0 { look; start "0-13" } }""",
+    "cut off": """scenario "x" { proxies 10; seconds 34; rate 1.0
+        at 2.0 { cut "0-1" "2-9" }
+        at 20.0 { look; heal } }""",
+    "one way": """scenario "x" { proxies 8; seconds 16; rate 1.0
+        at 2.0 { one-way "0" "1-3" } }""",
+    "stopped": """scenario "x" { proxies 8; seconds 26; rate 1.0
+        at 2.0 { stall "3" seconds=10.0 }
+        at 10.0 { look } }""",
+    "two restarts": """scenario "x" { proxies 8; seconds 16; rate 1.0
+        at 3.0 { kill "5" }
+        at 3.2 { start "5" }
+        at 4.4 { kill "5" }
+        at 4.6 { start "5" } }""",
+    "left": """scenario "x" { proxies 8; seconds 12; rate 1.0
+        at 3.0 { term "2" } }""",
+    "spoilt network": """scenario "x" { proxies 12; seconds 24; rate 1.0
+        at 0.0 { network loss=0.05 double=0.05 delay-ms=30 }
+        at 12.0 { kill "4" }
+        at 20.0 { heal } }""",
+}
+START = "from starlinghaven.fleet.swim import Membership as M; {}; \
+from starlinghaven.program.daemon import main; raise SystemExit(main())"
+WITHOUT = {  # the part that is taken out of the program, by case
+    "cut off": "some = M._some; M._some = lambda s, most, among: some(s, most, \
+[m for m in among if s.members[m].status.name != 'FAILED'])",
+    "stopped": "M._about_me = lambda s, c, now: None",
+    "one way": "M._ask_helpers = lambda s, probe, now: None",
+    "two restarts": "import starlinghaven.fleet.swim as w; w.life_of = lambda unix: 1",
+    "left": "M.leave = lambda s, now: None",
+}
+
+
+async def play(text: str, out: Path, command: tuple[str, ...] = ("-m", "starlinghaven")) -> list[Entry]:
+    with trio.fail_after(MOST_S):
+        await Rig(scenario.parse(text), out, command=command).run()
+    return read(out / "history.jsonl")
+
+
+@pytest.fixture(scope="module")
+def histories(tmp_path_factory: pytest.TempPathFactory) -> dict[str, list[Entry]]:
+    """Every case, and every case again without its part ("... without")."""
+    found: dict[str, list[Entry]] = {}
+    folder = tmp_path_factory.mktemp("lab")
+
+    async def one(name: str, text: str, *command: str) -> None:
+        found[name] = await play(text, folder / name.replace(" ", "-"), command or ("-m", "starlinghaven"))
+
+    async def all_of_them() -> None:
+        async with trio.open_nursery() as nursery:
+            for name, text in CASES.items():
+                nursery.start_soon(one, name, text)
+            for name, part in WITHOUT.items():
+                nursery.start_soon(one, f"{name} without", CASES[name], "-c", START.format(part))
+
+    trio.run(all_of_them)
+    return found
+
+
+def broken(history: Sequence[Entry], *but: str) -> dict[str, list[str]]:
+    return {name: said for name, said in checks.run(history).items() if said and name not in but}
+
+
+def looks(history: Sequence[Entry], number: int) -> list[Entry]:
+    return [e for e in history if e["what"] == "members" and e["look"] == number]
+
+
+def views(history: Sequence[Entry], state: str) -> set[int]:
+    """Members that anybody called this."""
+    return {e["peer"] for e in history if e["what"] == "view" and e["state"] == state}
+
+
+def told(history: Sequence[Entry], name: str) -> int:
+    return sum(int(e["told"].get(name, 0)) for e in history if e["what"] == "members")
+
+
+Histories = dict[str, list[Entry]]
+
+
+@pytest.mark.parametrize("name", CASES)
+def test_every_rule_holds_and_all_agree_at_the_end(histories: Histories, name: str) -> None:
+    history = histories[name]
+    assert broken(history) == {}
+    last = [e for e in history if e["what"] == "members"][-1]["look"]
+    assert len(looks(history, last)) == len(looks(history, last)[0]["truth"]), "each living one was asked"
+    answers = Counter(e["word"] for e in history if e["what"] == "answer")
+    assert answers["RESULT"] > 0.9 * answers.total() > 0
+
+
+def test_seven_in_ten_killed_at_once_are_found_and_the_others_know_they_are_few(histories: Histories) -> None:
+    history = histories["seven in ten"]
+    seen = looks(history, 1)
+    assert len(seen) == 6
+    for e in seen:
+        assert sorted(e["alive"]) == list(range(14, 20))
+        assert e["stance"] == "stance cut off" and e["told"]["fleet_tasks"] == "no"
+        assert e["told"]["sharers"] == "20"  # no share has grown
+    assert {e["stance"] for e in looks(history, 2)} == {"stance whole"}
+
+
+def test_a_fifth_that_is_cut_off_knows_it_and_comes_back(histories: Histories) -> None:
+    seen = {e["proxy"]: e for e in looks(histories["cut off"], 1)}
+    assert {seen[k]["stance"] for k in (0, 1)} == {"stance cut off"}
+    assert {seen[k]["stance"] for k in range(2, 10)} == {"stance partial"}
+    assert {seen[k]["told"]["fleet_tasks"] for k in (0, 1)} == {"no"}
+    assert {seen[k]["told"]["sharers"] for k in range(10)} == {"10"}
+    assert "members_agree" in broken(histories["cut off without"])
+
+
+def test_one_that_some_cannot_hear_is_not_called_failed(histories: Histories) -> None:
+    assert views(histories["one way"], "failed") == set()
+    refuted = {name: told(histories[name], "refuted") for name in ("one way", "one way without")}
+    assert refuted["one way without"] > 2 * refuted["one way"], refuted
+
+
+def test_one_that_stood_still_is_failed_meanwhile_and_blames_nobody_after(histories: Histories) -> None:
+    history = histories["stopped"]
+    assert all(3 not in e["alive"] for e in looks(history, 1))
+    assert views(history, "failed") == {3}
+    assert "members_agree" in broken(histories["stopped without"])
+
+
+def test_two_restarts_are_two_new_lives(histories: Histories) -> None:
+    def lives(history: Sequence[Entry]) -> set[int]:
+        return {e["life"] for e in history if e["what"] == "view" and e["peer"] == 5}
+
+    assert len(lives(histories["two restarts"])) >= 2
+    assert len(lives(histories["two restarts without"])) < 2
+
+
+def test_one_that_leaves_in_order_is_not_suspected(histories: Histories) -> None:
+    assert views(histories["left"], "left") == {2} and views(histories["left"], "failed") == set()
+    assert views(histories["left without"], "left") == set()
+
+
+def test_a_death_is_found_over_a_network_that_loses_doubles_and_delays(histories: Histories) -> None:
+    history = histories["spoilt network"]
+    assert views(history, "failed") == {4}
+    (found,) = checks.detections(history)
+    assert found.knew == 11
+
+
+def test_a_hundred_processes_that_start_at_once_know_each_other_and_lose_ten(tmp_path: Path) -> None:
+    """A storm: bounded datagrams, one view; then ten die at once, and ninety know it."""
+    text = """scenario "x" { proxies 100; seconds 30; rate 0.5
+        at 8.0 { look; kill "0-9" } }"""
+    history = trio.run(play, text, tmp_path)
+    assert broken(history) == {}
+    first, last = looks(history, 1), looks(history, 2)
+    assert len(first) == 100 and {e["stance"] for e in first} == {"stance whole"}
+    assert len(last) == 90 and {e["stance"] for e in last} == {"stance partial"}
+    (peers,) = [e for e in history if e["what"] == "peers"]
+    assert peers["longest"] <= 256
+    # Twenty-odd seconds of starting and thirty of play: far from one burst for each pair.
+    assert sum(peers["delivered"]) / 100 < 60_000, "bytes delivered to each"
+    assert checks.false_failures(history) == []
