--- a/starlinghaven/fleet/swim.py
+++ b/starlinghaven/fleet/swim.py
@@ -68,6 +68,7 @@
     since: float = -math.inf  # when its status was taken, ms
     heard_at: float = -math.inf  # when a datagram came from it, ms
     tried: bool = False  # probed in vain while nothing was known of it
+    vouched: bool = False  # last known to live by a helper's word alone: it does not answer here
 
     @property
     def version(self) -> tuple[int, int]:
@@ -220,7 +221,7 @@
         if now - self.heard_at > self.limits.silence_ms:
             self._sync_soon(now)  # nobody was heard for long: much may have been missed
         self.heard_at = now
-        self.members[sender].heard_at = now
+        self.members[sender].heard_at, self.members[sender].vouched = now, False
         self._heard(sender, d.life, d.inc, now)
         for claim in d.claims:
             self._claimed(claim, now)
@@ -316,7 +317,9 @@
         # Lifeguard: helpers that say nothing accuse this process, those that say "no" speak for it. One "no"
         # is enough here: where many have died at once, most helpers are silent because they are dead.
         self.health.worse(0 if probe.nacks else 1)
-        if member.status in (Status.ALIVE, Status.SUSPECT):
+        if member.vouched:  # a one-way cut, or an older list there: its silence here tells of the link
+            self.counts["probes_undecided"] += 1
+        elif member.status in (Status.ALIVE, Status.SUSPECT):
             self._suspect(probe.target, self.own, now, "no answer")
 
     def _run_relays(self, now: float) -> None:
@@ -364,6 +367,7 @@
         if probe is not None and d.number == probe.number and d.target == probe.target:
             self._probe = None
             self.health.better()
+            self.members[d.target].vouched = sender != d.target
             self.counts["probes_acked" if sender == d.target else "probes_helped"] += 1
             return
         relay = self._relays.get(d.number)
@@ -452,9 +456,7 @@
             case Status.ALIVE | Status.LEFT:
                 cause = "restarted" if m.life and c.life > m.life else "told"
                 self._adopt(c.member, c.life, c.inc, c.status, NOBODY, now, cause)
-            case Status.FAILED if m.status is Status.UNKNOWN:
-                self._adopt(c.member, c.life, c.inc, Status.FAILED, c.accuser, now, "told as failed")
-            case _:
+            case _:  # also of one not heard of before: who has just started must not believe one voice
                 self._adopt(c.member, c.life, c.inc, Status.ALIVE, NOBODY, now, "told")
                 self._suspect(c.member, c.accuser, now, f"accused by {c.accuser}")
 
--- a/starlinghaven/lab/history.py
+++ b/starlinghaven/lab/history.py
@@ -24,8 +24,11 @@
     def now(self) -> float:
         return time.time() - self.started
 
-    def add(self, what: str, **more: Any) -> None:
-        self.entries.append({"t": round(self.now(), 4), "what": what, **more})
+    def add(self, what: str, **more: Any) -> Entry:
+        """Adds an entry and returns it, for what is known of it only later."""
+        entry = {"t": round(self.now(), 4), "what": what, **more}
+        self.entries.append(entry)
+        return entry
 
     def add_log(self, proxy: int, path: Path) -> None:
         """What a proxy logged of its peers, in the same clock."""
--- a/starlinghaven/lab/report.py
+++ b/starlinghaven/lab/report.py
@@ -48,11 +48,23 @@
         "all_know_s": _spread([d.last_s for d in deaths]),
         "false_failures": len(checks.false_failures(history)),
         "bytes_per_proxy_per_s": round(sum(delivered) / max(len(delivered), 1) / seconds, 1),
+        "cpu_ms_per_proxy_per_s": _cpu(history),
         "datagrams": {k: peers[k] for k in ("sent", "lost", "passed", "longest") if k in peers},
         "stances": dict(Counter(e["stance"] for e in history if e["what"] == "stance")),
     }
 
 
+def _cpu(history: Sequence[Entry]) -> float:
+    """Processor time of a proxy, in ms a second, over those that lived through the run."""
+    read: dict[int, list[tuple[float, float]]] = defaultdict(list)
+    for e in history:
+        if e["what"] == "cpu":
+            read[e["proxy"]].append((e["t"], e["s"]))
+    shares = [1000 * (two[1] - one[1]) / (two[0] - one[0]) for one, *_, two in
+              (v for v in read.values() if len(v) > 1) if two[1] >= one[1]]  # fmt: skip
+    return round(statistics.mean(shares), 2) if shares else 0.0
+
+
 def _spread(values: list[float]) -> dict[str, float] | None:
     if not values:
         return None
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -45,6 +45,30 @@
         config.load({"LB_CONFIG": str(path)})
 
 
+PEERS = {"peer_listen": "127.0.0.9:7946", "peers": ["10.3.0.1:7946", "10.3.0.2:7946"]}
+
+
+def with_peers(allowed: bool = True, me: int = 1, **more: Any) -> dict[str, Any]:
+    told = raw() | PEERS | more
+    limits = told["settings"]["PolicyLimits"] | {"Peers": allowed}
+    return told | {"settings": told["settings"] | {"Me": me, "PolicyLimits": limits}}
+
+
+def test_peers_are_taken_only_where_the_settings_allow_them() -> None:
+    got = config.parse(with_peers(), {})
+    assert (got.peer_listen, got.own_number, len(got.peers)) == ("127.0.0.9:7946", 1, 2)
+    for none in (with_peers(allowed=False), with_peers(peers=[]), with_peers(peer_listen="")):
+        assert config.parse(none, {}).peer_listen == ""
+
+
+@pytest.mark.parametrize("change", [{"me": 2}, {"peers": ["here", "there"]}, {"peer_listen": "x"}])
+def test_peers_that_can_not_be_used_end_with_a_plain_message(change: dict[str, Any], tmp_path: Path) -> None:
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(with_peers(**change)))
+    with pytest.raises(config.ConfigError):
+        config.load({"LB_CONFIG": str(path)})
+
+
 @pytest.mark.parametrize("text", [None, "{", "{}"])
 def test_the_program_says_what_is_wrong_and_exits_with_2(text: str | None, tmp_path: Path) -> None:
     path = tmp_path / "config.json"
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -63,6 +63,7 @@
         assert (await operator(door, "readyz"))[0].startswith("SUCCESS")
         client = await p.client()
         assert (await client.call())[1] == b"RESULT"
+        assert await operator(door, "members") == ["FAILURE no peers"]
         lines = await operator(door, "telemetry")
         assert lines[-1] == "EOT"
         figures = dict(line.split("=") for line in lines[:-1])
