--- a/starlinghaven/fleet/swim.py
+++ b/starlinghaven/fleet/swim.py
@@ -53,6 +53,7 @@
 PIECES_SENT = 3  # pieces that answer one SYNC; the rest follows with the next
 FIRST_SYNC_MS = 300.0  # between exchanges of digests at first; doubled each time nothing new came by one
 START_SENDS = 2  # sends of a claim on a member that is new to one who has just started itself
+ALONE_LEAST = 2  # members that one accuser may have under suspicion with no other voice, in any fleet
 MOST_RELAYS = 64  # probes made for others at once
 QUIET_STATUS = (Status.FAILED, Status.LEFT)
 
@@ -480,6 +481,9 @@
         suspicion = self._suspicions.get(member)
         if suspicion is None:
             limits, alive = self.limits, max(self.count(Status.ALIVE, Status.SUSPECT), 2)
+            if accuser != self.own and self._indiscriminate(accuser, alive):
+                self.counts["accusers_ignored"] += 1
+                return
             least = limits.suspicion * max(1.0, math.log10(alive)) * limits.period_ms
             enough = max(min(limits.confirmations, alive - 2), 0)
             most = limits.suspicion_most * least
@@ -492,6 +496,11 @@
             self.members[member].accuser = accuser
             self._spread_claim(member)
 
+    def _indiscriminate(self, accuser: int, alive: int) -> bool:
+        """Guards against a sick or lying member: who alone accuses a quarter of all is at fault itself."""
+        alone = sum(s.accusers == {accuser} for s in self._suspicions.values())
+        return alone >= max(ALONE_LEAST, alive // 4)
+
     def _adopt(
         self, member: int, life: int, inc: int, status: Status, accuser: int, now: float, cause: str
     ) -> None:
