--- a/starlinghaven/standins/platform.py
+++ b/starlinghaven/standins/platform.py
@@ -95,6 +95,7 @@
     def __init__(self, stores: Sequence[tuple[str, str, str]] = STORES) -> None:
         self.stores = stores
         self.plan: dict[str, tuple[float, str]] = {}
+        self.keeps_orders = True
         self.orders: list[dict[str, str]] = []  # as they came, with id and place
         self.dropped: list[str] = []
         self.out: dict[str, int] = {}  # attempts at work by id
@@ -137,7 +138,8 @@
 
     async def _answer(self, store: str, words: Words, message: list[bytes], scope: trio.CancelScope) -> None:
         name, fields = message[1].decode(), read_fields(message[2])
-        self.orders.append({"id": name, "at": store, "body": message[3].decode(), **fields})
+        if self.keeps_orders:
+            self.orders.append({"id": name, "at": store, "body": message[3].decode(), **fields})
         self.saw("order", store, name)
         delay, word, since = self.reply(store, fields)
         self.out[name] = self.out.get(name, 0) + 1
--- a/starlinghaven/standins/tier.py
+++ b/starlinghaven/standins/tier.py
@@ -18,6 +18,7 @@
         self, stores: Sequence[tuple[str, str, str]], saw: Callable[[str, str, str], None]
     ) -> None:
         super().__init__(stores)
+        self.keeps_orders = False  # the watcher has them
         self.kinds = {store: kind for store, _, kind in stores}
         self.copies: dict[str, dict[str, int]] = {store: {} for store, _, _ in stores}
         self.silent: set[str] = set()  # takes requests and never answers
