--- a/starlinghaven/lab/rig.py
+++ b/starlinghaven/lab/rig.py
@@ -107,6 +107,7 @@
                 await self._start_all()
                 self.history.started = time.time()  # seconds count from here
                 self.history.entries.clear()
+                self.history.add("ready", pids=[p.process.pid for p in self.proxies if p.process])
                 for proxy in self.proxies:
                     nursery.start_soon(self._ask, proxy)
                 nursery.start_soon(self._play_out)
@@ -195,7 +196,7 @@
                 [sys.executable, *self._odd.get(proxy.number, self._command)], cwd=ROOT, env=env,
                 stderr=sink, stdin=subprocess.DEVNULL,
             )  # fmt: skip
-        self.history.add("start", proxy=proxy.number, life=proxy.life)
+        self.history.add("start", proxy=proxy.number, life=proxy.life, pid=proxy.process.pid)
 
     async def _ready(self, proxy: Proxy) -> None:
         while proxy.up:
--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -6,6 +6,10 @@
 
 from __future__ import annotations
 
+import os
+import signal
+import subprocess
+import sys
 from collections import Counter
 from collections.abc import Sequence
 from pathlib import Path
@@ -233,6 +237,27 @@
     assert found.knew == 11
 
 
+def test_an_interrupted_run_ends_every_process_and_keeps_its_history(tmp_path: Path) -> None:
+    """Ctrl-C amid a run, with one of its proxies stopped."""
+    scene = tmp_path / "scene.kdl"
+    scene.write_text('scenario "x" { proxies 3; seconds 60; rate 1.0; at 0.0 { stall "1" seconds=50.0 } }')
+    out = tmp_path / "out"
+    command = [sys.executable, "-m", "starlinghaven.lab", "run", str(scene), "--out", str(out)]
+    with subprocess.Popen(command, stdout=subprocess.PIPE, text=True) as lab:
+        assert lab.stdout is not None
+        for line in lab.stdout:
+            if "asked=" in line and "asked=0" not in line:
+                break
+        lab.send_signal(signal.SIGINT)
+        assert lab.wait(60) != 0
+    history = read(out / "history.jsonl")
+    (ready,) = [e for e in history if e["what"] == "ready"]
+    assert len(ready["pids"]) == 3 and any(e["what"] == "stall" for e in history)
+    for pid in ready["pids"]:
+        with pytest.raises(ProcessLookupError):
+            os.kill(pid, 0)
+
+
 def test_a_hundred_processes_that_start_at_once_know_each_other_and_lose_ten(tmp_path: Path) -> None:
     """A storm: bounded datagrams, one view; then ten die at once, and ninety know it."""
     text = """scenario "x" { proxies 100; seconds 30; rate 0.5
