--- a/starlinghaven/fleet/swim.py
+++ b/starlinghaven/fleet/swim.py
@@ -318,7 +318,10 @@
         # Lifeguard: helpers that say nothing accuse this process, those that say "no" speak for it. One "no"
         # is enough here: where many have died at once, most helpers are silent because they are dead.
         self.health.worse(0 if probe.nacks else 1)
-        if member.vouched:  # a one-way cut, or an older list there: its silence here tells of the link
+        strange = member.heard_at == -math.inf and probe.nacks < max(probe.nacks_due, 1)
+        if member.vouched or strange:
+            # A one-way cut, or an older list there: its silence here tells of the link. Who never answered
+            # here at all is accused only if every helper found the same.
             self.counts["probes_undecided"] += 1
         elif member.status in (Status.ALIVE, Status.SUSPECT):
             self._suspect(probe.target, self.own, now, "no answer")
