Take out what the fleet's code had twice or never used

Found in reading the change once more: the socket's flush took a socket it did not use, and re-exported a name; a bound that was its own half; the spread of the own leave beside its twin; a delay and a flag of the lab's stream relay that nothing set or read. Behaviour is the same. ruff, mypy and the fleet's simulated, judgement, codec, layer and lab tests pass.

--- a/starlinghaven/fleet/swim.py
+++ b/starlinghaven/fleet/swim.py
@@ -239,7 +239,7 @@
         if self.left or self.n < 2:
             return
         self.members[self.own].status = Status.LEFT
-        self._spread[self.own] = self._sends()
+        self._spread_claim(self.own)
         for member in self._some(2 * self.limits.helpers, self._present()):
             self._send(Kind.GOSSIP, member, now)
         self.left = True
@@ -577,7 +577,7 @@
         if alone:
             claims, facts = tuple(self._claim(m) for m in first), tuple[Fact, ...]()
         else:
-            facts = self.news.take(min(room // 2, room) // FACT_BYTES, now)
+            facts = self.news.take(room // 2 // FACT_BYTES, now)
             claims = self._claims(room - FACT_BYTES * len(facts), to, first)
         d = Datagram(
             kind, self.own, self.universe.digest, self.life, self.inc, number, target, pieces, claims, facts
--- a/starlinghaven/lab/relays.py
+++ b/starlinghaven/lab/relays.py
@@ -110,18 +110,16 @@
 
 
 class StreamRelay:
-    """Stands before one store: passes bytes on, late, or not at all while the connection stays open."""
+    """Stands before one store: passes bytes on, or not at all while the connection stays open."""
 
     def __init__(self, host: str, port: int) -> None:
         self._target = (host, port)
-        self.delay_s = 0.0
-        self.silent = False  # nothing passes, nothing is reset: a machine that vanished
         self.address: Address = ("", 0)
         self._speaks = trio.Event()
         self._speaks.set()
 
     def silence(self, on: bool) -> None:
-        self.silent = on
+        """Nothing passes and nothing is reset: a machine that vanished."""
         if on:
             self._speaks = trio.Event()
         else:
@@ -145,8 +143,6 @@
     async def _copy(self, one: trio.SocketStream, other: trio.SocketStream, both: trio.CancelScope) -> None:
         try:
             while data := await one.receive_some(65536):
-                if self.delay_s:
-                    await trio.sleep(self.delay_s)
                 await self._speaks.wait()
                 await other.send_all(data)
         except (trio.BrokenResourceError, trio.ClosedResourceError):
--- a/starlinghaven/program/fleet.py
+++ b/starlinghaven/program/fleet.py
@@ -17,7 +17,7 @@
 from starlinghaven.fleet.codec import MOST_BYTES, Status
 from starlinghaven.fleet.news import FactKind
 from starlinghaven.fleet.settings import Limits
-from starlinghaven.fleet.stance import Stance, Standing
+from starlinghaven.fleet.stance import Standing
 from starlinghaven.fleet.swim import Change, Membership
 from starlinghaven.fleet.universe import Universe
 from starlinghaven.program.config import Config
@@ -72,7 +72,9 @@
                 self._take_tells(now)
                 if self.core.next_due() <= now:
                     self.core.advance(now)
-                await self._flush(sock)
+                for address, data in self.core.take_out():
+                    self._send(address, data)
+                await trio.lowlevel.checkpoint()  # it never keeps the loop, however much comes in
                 for change in self.core.take_changes():
                     self._log(change)
                 if look_at <= now:
@@ -99,11 +101,6 @@
                 continue
             self.core.receive(data, source[:2], self._engine.clock.now())
 
-    async def _flush(self, sock: trio.socket.SocketType) -> None:
-        for address, data in self.core.take_out():
-            self._send(address, data)
-        await trio.lowlevel.checkpoint()
-
     def _send(self, address: tuple[str, int], data: bytes) -> None:
         """A datagram that can't be sent is one that was lost: the protocol bears it."""
         assert self._sock is not None
@@ -187,6 +184,3 @@
 def subject_of(store: str) -> int:
     """A store's id as a fact names it."""
     return crc32(store.encode())
-
-
-__all__ = ["Fleet", "Stance", "subject_of"]
