Close every connection in one orderly way, also at the program's end

A second SIGTERM or a SIGHUP while draining was redelivered at the end and killed the process (exit code -15). What a hanging cache costs is bounded by the request's own deadline as before (ruled out). - Listener._shed entered a cancelled scope before accept(): it could never shed.

Now finish() is the one lingering close: nothing more is handed on, the sending side is shut, what still comes is read and dropped for 0.5 s and 512 KB at most. Its place is free at once; at most 16 linger beyond the places, the longest gives way. Clients.close is the one place that asks whether a connection rests, unread bytes included. The end retires all connections, accepts and refuses what the system had accepted, and takes signals to the last. After EMFILE fewer places are held.

--- a/starlinghaven/program/clients.py
+++ b/starlinghaven/program/clients.py
@@ -64,7 +64,7 @@
                 now = time.monotonic()
                 for link in self._idle():
                     if link.ends_at < now:
-                        link.connection.finish()
+                        self.close(link)
 
     @property
     def nursery(self) -> trio.Nursery:
@@ -80,16 +80,24 @@
     def unsent(self) -> int:
         return sum(p.connection.unsent for p in self._links)
 
-    async def retire(self) -> None:
-        """Accepts nothing more, closes each connection when nothing is open on it, and waits for the last.
+    def close(self, link: ClientLink) -> bool:
+        """The one place where a client's connection is closed in order; whether it is.
 
         Guards requests on their way: one that has been read or waits to be read keeps its connection.
+        Who has sent but half of one in all its time can't keep it by sending on.
         """
+        if link.busy or link.connection.pending and not link.amid:
+            return False
+        link.connection.finish()
+        return True
+
+    async def retire(self) -> None:
+        """Accepts nothing more, closes each connection when nothing is open on it, and waits for the last."""
         self.stop()
         while self._links:
             for link in self._idle():
-                if not link.amid and not link.connection.pending:
-                    link.connection.finish()
+                if not link.amid:
+                    self.close(link)
             await trio.sleep(RETIRE_S)
 
     def stop(self) -> None:
@@ -105,16 +113,13 @@
         self._listener.adopt(sock, serve)
 
     def _idle(self) -> list[ClientLink]:
-        return [p for p in self._links if not p.busy and not p.connection.unsent]
+        return [p for p in self._links if not p.busy and not p.connection.unsent and p.connection.usable]
 
     def _close_idlest(self) -> bool:
         """Guards clients that take long to write: one that was answered and rests loses nothing."""
         idle, before = self._idle(), time.monotonic() - RESTED_S
         rested = [p for p in idle if p.rests_since < before]
-        if not idle:
-            return False
-        min(rested or idle, key=lambda p: p.ends_at).connection.abort()
-        return True  # its place is free once it has closed
+        return any(self.close(p) for p in sorted(rested or idle, key=lambda p: p.ends_at))
 
     async def _serve(
         self, connection: Connection, make: Callable[[Connection], ClientLink] | None = None
--- a/starlinghaven/program/daemon.py
+++ b/starlinghaven/program/daemon.py
@@ -8,6 +8,7 @@
 import secrets
 import signal
 import sys
+from collections.abc import AsyncIterator
 from typing import TYPE_CHECKING
 
 import trio
@@ -19,7 +20,7 @@
 from starlinghaven.program.handover import Handover
 from starlinghaven.program.platform import PlatformFront
 from starlinghaven.protocol import platform
-from starlinghaven.transport.listener import Listener
+from starlinghaven.transport.listener import LINGERING, Listener
 
 if TYPE_CHECKING:  # HTTP and tokens load only where they are switched on: a restart must be short
     from starlinghaven.program.admission import AdmissionGate
@@ -31,7 +32,7 @@
 log = logging.getLogger("starlinghaven")
 
 WINDOW_S = 0.75  # seconds after SIGTERM in which new requests still come: 0.7 s, and some slack
-FLUSH_S = 1.0  # seconds that the last answers may take to leave
+FLUSH_S = 1.0  # seconds that the last answers, and the lingering closes behind them, may take
 CHECKS = 16  # connections of balancers' checks at once
 STATES = {"ready": platform.READY, "draining": platform.DRAIN, "stopped": platform.UNREADY}
 
@@ -41,8 +42,11 @@
 
     def __init__(self, cfg: config.Config, options: operator.Operator) -> None:
         clients = cfg.sockets // 2  # usual ones hold a third of all at most; the rest is for the others
-        extra = options.signed.connections if options.signed else 0
-        core = self.core = Core(cfg, clients + extra, tells=options.fleet and bool(cfg.peer_listen))
+        places = [clients, options.signed.connections if options.signed else 0]
+        places += [CHECKS for switched_on in (options.health, options.agent) if switched_on]
+        places += [PLACES] if cfg.console else []
+        fronts = sum(n + LINGERING for n in places if n)
+        core = self.core = Core(cfg, fronts, tells=options.fleet and bool(cfg.peer_listen))
         self.engine, self.counters = core.engine, core.counters
         self.gate: AdmissionGate | None = None
         if options.admission:
@@ -148,18 +152,14 @@
                     door = relay.Door(path, self.core.memory, self.front)
                     await door.open()
                     nursery.start_soon(door.run)
+                terminate = trio.Event()
+                nursery.start_soon(self._signalled, signals, terminate)
                 self.engine.ready = True
                 self.handover.serving()
                 gc.collect()
                 gc.freeze()  # what lives as long as the program is not looked at again
                 log.info("ready name=%s listen=%s events=%d", cfg.name, cfg.listen, cfg.last)
-                async for number in signals:
-                    if number == signal.SIGUSR1:
-                        log.info("counters %s", self.counters.line())
-                    elif number == signal.SIGHUP:
-                        self._reload()
-                    else:
-                        break
+                await terminate.wait()
                 await self._drain(nursery)
                 if self.fleet:
                     self.fleet.leave()
@@ -167,6 +167,19 @@
         log.info("counters %s", self.counters.line())
         log.info("stopped")
 
+    async def _signalled(self, signals: AsyncIterator[int], terminate: trio.Event) -> None:
+        """Takes signals to the end: one that comes again while draining must not end it unordered."""
+        async for number in signals:
+            if number == signal.SIGUSR1:
+                log.info("counters %s", self.counters.line())
+            elif terminate.is_set():
+                self.counters.add("signals_passed_over")
+                log.info("signal %d passed over: draining already", number)
+            elif number == signal.SIGHUP:
+                self._reload()
+            else:
+                terminate.set()
+
     def _reload(self) -> None:
         """Takes the configuration and the keys anew. What can't be used leaves the old in force."""
         try:
@@ -183,6 +196,8 @@
         """New requests go on coming for a while after SIGTERM: they are taken and answered too.
 
         Where a successor accepts on the same socket, it gets what is new, and the connections of clients.
+        After that what still comes is refused, and each connection is closed in order once nothing is open
+        on it. All of them end the same way, so that no answer is lost to a reset.
         """
         giver: relay.Giver | None = None
         log.info("draining open=%d", self.engine.open_requests)
@@ -203,12 +218,18 @@
             else:
                 await trio.sleep_forever()
         self.front.closed = True  # one that goes on asking must not keep the program from its end
-        await self.engine.quiet()
-        with trio.move_on_after(FLUSH_S):
-            while any(clients.unsent for clients in self._clients):
-                await trio.sleep(0.005)
-            if giver:
-                await giver.flushed()
+        async with trio.open_nursery() as leaving:
+            for clients in self._clients:
+                leaving.start_soon(clients.retire)
+            await self.engine.quiet()
+            while any(link.busy for clients in self._clients for link in clients.all):
+                await trio.sleep(0.005)  # one that was read waits for its place in the queue
+            with trio.move_on_after(FLUSH_S):
+                while any(clients.all for clients in self._clients):
+                    await trio.sleep(0.005)
+                if giver:
+                    await giver.flushed()
+            leaving.cancel_scope.cancel()
         self.engine.ready = False
 
 
--- a/starlinghaven/program/http.py
+++ b/starlinghaven/program/http.py
@@ -23,7 +23,6 @@
 MOST_BODY = 64 * 1024  # bytes of a request's body
 MOST_AHEAD = 64 * 1024  # bytes that a client may send ahead while its request is at work
 IDLE_S = 15.0  # seconds that a client may take for a whole request, or stay idle
-LINGER_S = 0.5  # seconds in which the rest of a refused request is read and dropped before closing
 
 
 @dataclass(frozen=True, slots=True)
@@ -48,6 +47,11 @@
         self.request, self._client = request, client
         self.left: Callable[[], Awaitable[None]] | None = None  # what to do when the client leaves
 
+    @property
+    def gone(self) -> bool:
+        """Whether its client has left, be that read or not."""
+        return self._client.exchange is not self or self._client.connection.hung_up
+
     def respond(self, response: HttpResponse) -> None:
         self._client.respond(self, response)
 
@@ -133,8 +137,7 @@
             log.info("no answer possible: %s", type(error).__name__)
             close = True
         if close or self._h11.our_state is h11.MUST_CLOSE:
-            unread = self._h11.their_state not in (h11.DONE, h11.MUST_CLOSE, h11.CLOSED)
-            self.connection.finish(LINGER_S if unread else 0.0)
+            self.connection.finish()
 
     def respond(self, exchange: Exchange, response: HttpResponse) -> None:
         if self.exchange is not exchange:
--- a/starlinghaven/transport/connection.py
+++ b/starlinghaven/transport/connection.py
@@ -3,11 +3,9 @@
 from __future__ import annotations
 
 import contextlib
-import fcntl
 import os
+import select
 import socket
-import struct
-import termios
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
@@ -19,6 +17,9 @@
 STARVED_S = 2.0  # seconds that a half-read message may wait for memory
 HIGH_WATER = 512 * 1024  # bytes unsent from which nothing more is read from the same peer
 MOST_UNSENT = 8 * 1024 * 1024  # bytes unsent at most: all open requests of a connection with full answers
+LINGER_S = 0.5  # seconds of a lingering close in which what the peer still sends is read and dropped
+MOST_DROPPED = HIGH_WATER  # bytes that are read and dropped in that time, at most
+HUNG_UP = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 
 Feed = Callable[[Ring], Awaitable[int]]
 """Takes what it can use from the ring; returns how many bytes the ring must hold before it can go on."""
@@ -48,13 +49,19 @@
         self._scope = trio.CancelScope()
         self._work = trio.Event()  # there is something to write, or to stop for
         self._room = trio.Event()  # the peer has read
-        self._ending = False
+        self._ending = False  # nothing more is taken or written: it closes, in order or at once
+        self._half_closed = False
+        self._dropped = 0  # bytes read and dropped since then
+        self._queued = 0  # bytes that were taken to be written
+        self._poll = select.poll()
+        self._poll.register(sock.fileno(), select.POLLIN | HUNG_UP)
         self._peer: str | None = None  # the peer's address, once asked
-        self._linger_s = 0.0  # after the last byte: seconds in which what still comes is read and dropped
+        self.on_linger: Callable[[], None] | None = None  # told once it has shut its sending side
         self._shunned_s: float | None = None
         self._detaching = False
         self.remains: Remains | None = None
         self.closed = False
+        self._eof = False  # the peer's end was read
         self.reading = False  # it waits for the peer's bytes, and for nothing else
         self.heard_at = trio.current_time()  # when the last bytes came in
 
@@ -62,20 +69,41 @@
     def unsent(self) -> int:
         return self._out.size
 
+    @property
+    def queued(self) -> int:
+        """All bytes that were ever written to it; `sent` of them left."""
+        return self._queued
+
+    @property
+    def sent(self) -> int:
+        """Bytes that the system has taken. What comes after them surely never reached the peer."""
+        return self._queued - self._out.size
+
+    @property
+    def usable(self) -> bool:
+        """Whether what is written now can still go out."""
+        return not (self.closed or self._ending or self._detaching)
+
     @property
     def pending(self) -> bool:
-        """Whether bytes have come in that were not read yet."""
+        """Whether something has come in, be it the peer's end, that was not read yet."""
+        return bool(self._events())
+
+    @property
+    def hung_up(self) -> bool:
+        """Whether the peer has ended its side, read or not: looked at before something is begun for it."""
+        return self._eof or bool(self._events() & HUNG_UP)
+
+    def _events(self) -> int:
         if self.closed:
-            return False
-        with contextlib.suppress(OSError):
-            held = fcntl.ioctl(self._sock.fileno(), termios.FIONREAD, bytes(4))
-            return bool(struct.unpack("i", held)[0])
-        return False
+            return 0
+        return sum(events for _, events in self._poll.poll(0))
 
     def write(self, data: bytes) -> None:
         """Queues bytes in order; a peer that leaves far too much unread is cut off."""
         if self.closed or self._ending:
             return
+        self._queued += len(data)
         try:
             if self._out.size + len(data) > MOST_UNSENT:
                 raise NoMemory("the peer does not read")
@@ -85,6 +113,7 @@
                     return
             self._out.put(data)
         except NoMemory:
+            self._queued -= len(data)
             self.abort()
             return
         self._work.set()
@@ -106,15 +135,28 @@
                 self._peer = ""
         return self._peer
 
-    def finish(self, linger_s: float = 0.0) -> None:
-        """Closes once all that is queued has been written.
+    def finish(self) -> None:
+        """The one orderly close: a lingering close (RFC 9112, section 9.6).
 
-        With `linger_s`, it first shuts its sending side and reads, dropping it, what the peer still
-        sends, for that many seconds at most or until the peer ends: closing with unread input resets
-        the connection, and the peer may lose the last answer (RFC 9112, section 9.6).
+        From now on nothing that is read is handed on. Once all that is queued has been written it shuts
+        its sending side, and reads and drops what the peer still sends, for LINGER_S and MOST_DROPPED at
+        most or until the peer ends: closing over unread input resets the connection, and the peer may
+        lose the last answer.
         """
-        self._ending, self._linger_s = True, max(self._linger_s, linger_s)
+        if not self.usable:
+            return
+        self._ending = True
+        if not self._out.size:
+            self._half_close()
         self._work.set()
+        self._room.set()
+
+    def _half_close(self) -> None:
+        self._half_closed = True
+        with contextlib.suppress(OSError):
+            self._sock.shutdown(socket.SHUT_WR)
+        if self.on_linger:
+            self.on_linger()
 
     def detach(self) -> None:
         """Ends it without closing, as soon as nothing that came in is being handled: see `remains`."""
@@ -130,7 +172,7 @@
         self._work.set()
 
     def shun(self, seconds: float) -> None:
-        """Reads nothing more, and closes after so long: what is queued goes out meanwhile.
+        """Reads nothing more for so long, then closes in order: what is queued goes out meanwhile.
 
         Guards against a peer that breaks the protocol at full speed, on one new connection after another:
         the wait bounds what it can cost.
@@ -139,6 +181,7 @@
 
     def abort(self) -> None:
         """Ends it now: the other side is told before anything else is written, on any connection."""
+        self._ending = True
         if not self.closed:
             with contextlib.suppress(OSError):
                 self._sock.shutdown(socket.SHUT_RDWR)
@@ -163,6 +206,7 @@
             self.closed = True
             self._sock.close()
             self._in.close()
+            self._queued -= self._out.size  # these never left
             self._out.close()
 
     async def _read_in(self, feed: Feed) -> bool:
@@ -170,7 +214,7 @@
         if self._in.size and not await self._use(feed):
             return False
         while not self._detaching:
-            while self._out.size > HIGH_WATER and not self._detaching:
+            while self._out.size > HIGH_WATER and self.usable:
                 self._room = trio.Event()
                 await self._room.wait()
             self.reading = True
@@ -183,13 +227,16 @@
             finally:
                 self.reading = False
             if not got:
+                self._eof = True
                 return False
             self.heard_at = trio.current_time()
             self._in.filled(got)
-            if self._ending and self._linger_s > 0:
-                self._in.skip(self._in.size)  # the answer is out: nothing more is taken
-                continue
-            if not await self._use(feed):
+            if self._ending:
+                self._in.skip(self._in.size)  # it crossed the close: nothing more is taken
+                self._dropped += got
+                if self._dropped > MOST_DROPPED:
+                    return False
+            elif not await self._use(feed):
                 return False
         return True
 
@@ -199,7 +246,8 @@
         if self._shunned_s is not None:
             self._in.skip(self._in.size)
             await trio.sleep(self._shunned_s)
-            return False
+            self.finish()
+            return True
         return await self._grow(max(wanted, self._in.size + 1))
 
     async def _grow(self, n: int) -> bool:
@@ -216,10 +264,9 @@
         while True:
             if not self._out.size:
                 if self._ending:
-                    if self._linger_s > 0:
-                        with contextlib.suppress(OSError):
-                            self._sock.shutdown(socket.SHUT_WR)
-                        await trio.sleep(self._linger_s)
+                    if not self._half_closed:
+                        self._half_close()
+                    await trio.sleep(LINGER_S)
                     self._scope.cancel()
                     return
                 self._work = trio.Event()
--- a/starlinghaven/transport/listener.py
+++ b/starlinghaven/transport/listener.py
@@ -7,7 +7,9 @@
 import logging
 import os
 import socket
+from collections import OrderedDict
 from collections.abc import Awaitable, Callable
+from functools import partial
 from typing import Protocol
 
 import trio
@@ -19,6 +21,8 @@
 
 BACKLOG = 512
 PAUSE_S = 0.05  # seconds without accepting after descriptors or memory ran out
+LINGERING = 16  # connections in their lingering close, beyond the places; the longest gives way to a new one
+FEWER = 16  # descriptors left to others once they ran out before the places did
 
 Serve = Callable[[Connection], Awaitable[None]]
 """Serves one connection to its end."""
@@ -55,6 +59,7 @@
         gate: Gate | None = None,
     ) -> None:
         self._address, self._memory, self._most = split_address(address), memory, most
+        self._lingering: OrderedDict[Connection, None] = OrderedDict()
         self._shared = shared  # another process may listen on the address too
         self._passed = passed  # descriptor of a socket that listens already and is another's
         self._accepting = trio.CancelScope()
@@ -74,10 +79,12 @@
 
     async def open(self) -> None:
         if self._passed is not None:
-            self._sock = trio.socket.from_stdlib_socket(socket.socket(fileno=self._passed))
+            self._plain = socket.socket(fileno=self._passed)
+            self._sock = trio.socket.from_stdlib_socket(self._plain)
             self.port = self._sock.getsockname()[1]
             return
-        self._sock = trio.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self._plain = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self._sock = trio.socket.from_stdlib_socket(self._plain)
         self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         if self._shared:
             self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
@@ -92,7 +99,7 @@
             with contextlib.suppress(OSError):
                 self._spare = os.open(os.devnull, os.O_RDONLY)
 
-    async def _shed(self) -> bool:
+    def _shed(self) -> bool:
         """At EMFILE/ENFILE: gives up the spare, accepts the waiting client and closes it at once.
 
         Guards against a full accept queue in which clients wait for seconds with no answer; a close
@@ -102,18 +109,23 @@
             return False
         os.close(self._spare)
         self._spare = None
-        try:
-            with trio.move_on_after(0):
-                sock, _ = await self._sock.accept()
-                sock.close()
-                self.shed += 1
-        except OSError:
-            pass
+        sock = self._waiting()
+        if sock is not None:
+            sock.close()
+            self.shed += 1
         self._keep_spare()
-        return True
+        return sock is not None
+
+    def _waiting(self) -> trio.socket.SocketType | None:
+        """A connection out of the accept queue, without a wait; None if there is none to be had."""
+        try:
+            return trio.socket.from_stdlib_socket(self._plain.accept()[0])
+        except OSError:  # BlockingIOError too
+            return None
 
     async def run(self, serve: Serve, make_room: Callable[[], bool]) -> None:
-        """Accepts until cancelled. At the limit `make_room` closes an idle connection, if there is one.
+        """Accepts until cancelled. At the limit `make_room` closes an idle connection, if there is one, for
+        each that waits.
 
         The next is accepted as soon as that one is gone: a flood that says nothing must not make usual
         clients wait.
@@ -130,17 +142,24 @@
         self._nursery.start_soon(self._one, sock, serve)
 
     def stop(self) -> None:
-        """Accepts nothing more; what was accepted goes on."""
+        """Accepts nothing more but what the system has accepted already; that and the others go on.
+
+        Guards who wrote a request into a connection that waits in the accept queue: closing the listener
+        would reset it. A passed listener's queue is the successor's.
+        """
         self._accepting.cancel()
 
     async def _accept(self, nursery: trio.Nursery, serve: Serve, make_room: Callable[[], bool]) -> None:
         try:
             while True:
                 if self.count >= self._most:
-                    self._left = trio.Event()
-                    make_room()
-                    with trio.move_on_after(PAUSE_S):
-                        await self._left.wait()
+                    # Only for one that waits: else whoever came last, whose request is on its way, is closed.
+                    await trio.lowlevel.wait_readable(self._plain)
+                    if self.count >= self._most:
+                        self._left = trio.Event()
+                        make_room()
+                        with trio.move_on_after(PAUSE_S):
+                            await self._left.wait()
                     continue
                 try:
                     sock, _ = await self._sock.accept()
@@ -149,21 +168,29 @@
                                            errno.ECONNABORTED):
                         raise
                     log.warning("accept failed: %s", error)
-                    if error.errno in (errno.EMFILE, errno.ENFILE) and await self._shed():
-                        continue
+                    if error.errno in (errno.EMFILE, errno.ENFILE):
+                        # Fewer places from now on: whoever holds them idle must not keep descriptors from
+                        # the change log and the stores.
+                        self._most = max(min(self._most, self.count - FEWER), 1)
+                        if self._shed():
+                            continue
                     await trio.sleep(PAUSE_S)
                     continue
-                ticket = self._ticket(sock)
-                if ticket is None:
-                    continue
-                self.count += 1
-                nursery.start_soon(self._one, sock, serve, ticket)
+                self._begin(nursery, sock, serve)
         finally:
+            while self._passed is None and (waiting := self._waiting()) is not None:
+                self._begin(nursery, waiting, serve)
             self._sock.close()
             if self._spare is not None:
                 os.close(self._spare)
                 self._spare = None
 
+    def _begin(self, nursery: trio.Nursery, sock: trio.socket.SocketType, serve: Serve) -> None:
+        ticket = self._ticket(sock)
+        if ticket is not None:
+            self.count += 1
+            nursery.start_soon(self._one, sock, serve, ticket)
+
     def _ticket(self, sock: trio.socket.SocketType) -> object | None:
         """What the gate says of a new connection; None: it was refused and is closed."""
         if self.gate is None:
@@ -179,6 +206,7 @@
         return ticket
 
     async def _one(self, sock: trio.socket.SocketType, serve: Serve, ticket: object = True) -> None:
+        connection: Connection | None = None
         try:
             try:
                 connection = Connection(sock, self._memory)
@@ -186,9 +214,21 @@
                 sock.close()
                 log.warning("connection turned away: %s", error)
                 return
+            connection.on_linger = partial(self._linger, connection)
             await serve(connection)
         finally:
-            self.count -= 1
+            if connection is not None and connection in self._lingering:
+                del self._lingering[connection]
+            else:
+                self.count -= 1
             self._left.set()
             if self.gate is not None:
                 self.gate.release(ticket)
+
+    def _linger(self, connection: Connection) -> None:
+        """Its place is free once it has shut its sending side: what is left is bounded in time and number."""
+        self.count -= 1
+        self._lingering[connection] = None
+        self._left.set()
+        if len(self._lingering) > LINGERING:
+            next(iter(self._lingering)).abort()
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -49,6 +49,11 @@
     return run
 
 
+async def until(condition: Callable[[], object]) -> None:
+    while not condition():
+        await trio.sleep(0.005)
+
+
 class Program:
     """The daemon as a process, with its archive."""
 
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -4,7 +4,7 @@
 
 import os
 import socket
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from pathlib import Path
 from typing import Any
@@ -19,7 +19,7 @@
 from starlinghaven.transport.listener import Listener, split_address
 from starlinghaven.transport.pool import DialFailed, Link, Pool
 from starlinghaven.transport.ring import SMALL, Memory, Ring
-from tests.loopback import free_port, in_trio
+from tests.loopback import free_port, in_trio, until
 
 
 class Plain(Link):
@@ -63,11 +63,6 @@
         nursery.cancel_scope.cancel()
 
 
-async def until(condition: Callable[[], object]) -> None:
-    while not condition():
-        await trio.sleep(0.005)
-
-
 @in_trio
 async def test_a_link_is_shared_up_to_its_streams_and_another_one_dialed_then(tmp_path: Path) -> None:
     async with echo() as address, pool(Memory(1 << 20)) as p:
@@ -162,7 +157,7 @@
                 link.begin()
                 link.connection.write(b"half")
             await until(lambda: all(link.got == b"half" for link in links))
-            links[0].amid = True
+            links[0].reads(amid=True)
             await until(lambda: links[0].over)
             assert not links[1].over and p.ready(("b", address)) is links[1]
 
