Follow the change log anew when its numbers skip or go back, and pass a repeat over

ChangeLog._told now asks again after the last event known, once for each number that does not follow; what comes again then is the log's own.

--- a/starlinghaven/program/changelog.py
+++ b/starlinghaven/program/changelog.py
@@ -45,6 +45,7 @@
         self._address, self.last = address, last
         self._engine, self._memory, self._counters = engine, memory, counters
         self._moved = trio.CancelScope()
+        self._odd: int | None = None  # the last number that did not follow, for which the log was asked again
         self.heard = False  # a frame came since the start: the list given at the start is confirmed
 
     @property
@@ -91,15 +92,13 @@
             sock.close()
             raise
         connection.write(changelog.resume(self.last))
-        reader, resumed, started = changelog.FrameReader(), True, connection.heard_at
+        reader, started = changelog.FrameReader(), connection.heard_at
 
         async def feed(ring: Ring) -> int:
-            nonlocal resumed
             try:
                 while (frame := reader.next(ring)) is not None:
                     self.heard = True
-                    await self._told(*frame, resumed)
-                    resumed = False
+                    await self._told(*frame)
             except ProtocolError as error:  # caught here: one bad frame must not end the program
                 log.warning("change log: %s", error)
                 connection.abort()
@@ -118,15 +117,19 @@
             await trio.sleep(SILENCE_S / 8)
         connection.abort()
 
-    async def _told(self, number: int, news: changelog.News | None, resumed: bool) -> None:
-        """One frame. A gap means that something was missed, and the log is asked again; only a gap
-        right after that is the log's own, and is passed over."""
+    async def _told(self, number: int, news: changelog.News | None) -> None:
+        """One frame. The last event may be told twice. Any other number that does not follow means that
+        something was missed, or that the log goes back; it is asked again after the last event known, once
+        for each such number: what then comes again is the log's own, and its gap is passed over."""
+        whole = isinstance(news, changelog.Fleet) and news.whole
+        follows = number in ((0, self.last) if news is None else (self.last, self.last + 1))
+        if not follows and not (whole and number > self.last) and number != self._odd:
+            self._odd = number
+            self._counters.add("changelog_odd")
+            raise ProtocolError(f"event {number} comes after {self.last}")
         if news is None or number <= self.last:
             return
-        whole = isinstance(news, changelog.Fleet) and news.whole
-        if number > self.last + 1 and not whole:
-            if not resumed:
-                raise ProtocolError(f"event {number} follows {self.last}")
+        if not follows and not whole:
             log.warning("change log: event %d follows %d also when asked again", number, self.last)
         await self._engine.post(event(news))
         self.last = number
