Decide in one place whether an attempt may begin, right before it is written

Engine.may_begin is the one place: request open, client there (POLLRDHUP, read or not), window, list. It is asked when the Router orders an attempt and again when a dial ends. After a stall of 50 ms the loop reads what came in before anything is decided. Orders carry begin_ms, the rest of a repeat's window. A connection never gets the same request's id twice; what is not whole in the system's hands when it ends never ran; an answer may come in for as long as the longest class waits.

test_a_late_answer_under_an_id_used_again asked for a DROP after such an answer; with no id used twice there is nothing to drop, and the test in its place asks for three connections and that no late word ends anything.

--- a/starlinghaven/interface.py
+++ b/starlinghaven/interface.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from enum import Enum, auto
@@ -284,6 +285,7 @@
     request: int
     store: str
     timeout_ms: float
+    begin_ms: float = math.inf  # it must begin within so long: a repeat's window ends then
 
 
 @dataclass(frozen=True, slots=True)
@@ -298,6 +300,7 @@
     age_ms: float = 0.0
     join: bool = False
     renew: bool = False
+    begin_ms: float = math.inf  # as above
 
 
 @dataclass(frozen=True, slots=True)
--- a/starlinghaven/plugin/grpc_client.py
+++ b/starlinghaven/plugin/grpc_client.py
@@ -156,6 +156,7 @@
 
     def leave(self, ticket: Ticket) -> None:
         """The caller has left. Nothing is to be done where the engine has ended already."""
+        ticket.left = True
         with contextlib.suppress(trio.RunFinishedError):
             self._post(Left(ticket))
 
@@ -187,6 +188,7 @@
 
     def __init__(self, call: EngineCall) -> None:
         self._call = call
+        self.left = False  # set by the caller's thread, ahead of the event in the queue
 
     def answer(self, answer: Answer) -> None:
         self._call.answered(answer)
--- a/starlinghaven/program/caches.py
+++ b/starlinghaven/program/caches.py
@@ -12,7 +12,7 @@
 from starlinghaven.routing.engine import Engine
 from starlinghaven.routing.types import Attempt, Counters, Ended
 from starlinghaven.transport.connection import Connection
-from starlinghaven.transport.pool import DialFailed, Link, Pool
+from starlinghaven.transport.pool import WHOLE_S, DialFailed, Link, Pool
 from starlinghaven.transport.ring import Memory, Ring
 
 log = logging.getLogger(__name__)
@@ -40,29 +40,27 @@
         super().__init__(connection)
         self.address = address
         self.out: dict[str, tuple[Attempt, float]] = {}
-        self.dropped: set[str] = set()  # ids given up here while others are out
+        self._ends: dict[str, int] = {}  # of those out: where in what was written they end
         self._engine, self._where = engine, where
         self._reader = caches.reader()
 
     async def feed(self, ring: Ring) -> int:  # type: ignore[override]
         try:
             while (words := self._reader.next(ring)) is not None:
+                self.reads(amid=False)
                 await self._said(caches.parse(words))
         except ProtocolError as error:
             log.warning("store %s sent what is no answer: %s", self.address, error)
+            self._engine.counters.add("bad_answers")
             self.connection.abort()
-        self.amid = self._reader.amid or ring.size > 0
+        self.reads(self._reader.amid or ring.size > 0)
         return self._reader.wanted
 
     async def _said(self, said: caches.Said) -> None:
         attempt, _ = self.out.pop(said.id, (None, 0.0))
         if attempt is None:
-            return  # dropped before
-        if said.id in self.dropped:
-            # Perhaps the answer to an earlier attempt under this id, which crossed its DROP: then the
-            # later one is still out, and nothing may follow before it is given up too.
-            self.connection.write(caches.drop([said.id]))
-        del self._where[attempt]
+            return  # dropped or answered before: an id is written once on a connection
+        del self._where[attempt], self._ends[said.id]
         self.done()
         await self._engine.post(
             Ended(
@@ -82,11 +80,19 @@
         held = self.out.pop(attempt.ask.id, None)
         if held is None:
             return  # its end is on the way through the queue
+        if self.connection.sent < self._ends.pop(attempt.ask.id) and not self.out:
+            self.connection.abort()  # the store reads nothing: it must not get it whole after this
         self.connection.write(caches.drop([attempt.ask.id]))
-        self.dropped.add(attempt.ask.id)
         self.done()
-        if not self.streams:
-            self.dropped.clear()
+
+    def carry(self, attempt: Attempt, text: bytes) -> None:
+        """Writes an attempt. It ends with an answer, with `give_up`, or with the connection."""
+        self._where[attempt] = attempt.link = self
+        self.out[attempt.ask.id] = attempt, trio.current_time()
+        self._ends[attempt.ask.id] = self.connection.queued + len(text)
+        self.begin()
+        attempt.written = True
+        self.connection.write(text)
 
     @property
     def silent(self) -> bool:
@@ -99,7 +105,9 @@
         for attempt, _ in lost.values():
             self._where.pop(attempt, None)
             self.done()
-            await self._engine.post(Ended(attempt, i.Code.RESET))
+            # What the system has not taken to its last byte surely never ran.
+            whole = self.connection.sent >= self._ends[attempt.ask.id]
+            await self._engine.post(Ended(attempt, i.Code.RESET if whole else i.Code.NO_CONNECTION))
 
 
 class Caches:
@@ -116,6 +124,7 @@
         streams: int,
         idle_s: float,
         most: int,
+        whole_s: float = WHOLE_S,
     ) -> None:
         self._engine, self._classes, self._counters = engine, classes, counters
         self._where: Where = {}
@@ -126,6 +135,7 @@
             streams=streams,
             idle_s=idle_s,
             most=most,
+            whole_s=whole_s,
         )
         self._nursery: trio.Nursery | None = None
 
@@ -135,25 +145,34 @@
             nursery.start_soon(self.pool.run)
 
     def send(self, attempt: Attempt) -> None:
-        link = self.pool.ready((attempt.store, attempt.address))
-        if link and attempt.ask.id not in link.out:
+        link = self.pool.ready((attempt.store, attempt.address), self._met(attempt))
+        if link:
             self._write(link, attempt)
             return
         assert self._nursery is not None
         scope = self._where[attempt] = trio.CancelScope()
         self._nursery.start_soon(self._dial, attempt, scope)
 
+    @staticmethod
+    def _met(attempt: Attempt) -> list[object]:
+        """Connections on which this request's id was written: what still comes under it there is of old.
+
+        Guards against second answers, and answers that cross a DROP: they would end the later attempt
+        here while it goes on at the store, and the next would run beside it.
+        """
+        return [other.link for other in attempt.before if other.link is not None]
+
     async def _dial(self, attempt: Attempt, scope: trio.CancelScope) -> None:
         code = i.Code.NO_CONNECTION
         with scope:
             try:
-                link = await self.pool.link((attempt.store, attempt.address))
+                link = await self.pool.link((attempt.store, attempt.address), self._met(attempt))
                 if self._where.get(attempt) is not scope:
                     return  # dropped when the connection was up already, before this task went on
-                if attempt.ask.id not in link.out:
+                if self._engine.may_begin(attempt):
                     self._write(link, attempt)
                     return
-                code = i.Code.MOOT  # another request with this id is out there: never two under one
+                code = i.Code.MOOT
             except DialFailed as error:
                 self._counters.add("dials_failed")
                 log.info("no connection: %s", error)
@@ -177,12 +196,8 @@
             have=ask.have,
             body=ask.body,
         )
-        self._where[a] = link
-        link.out[ask.id] = a, trio.current_time()
-        link.begin()
-        a.written = True
         self._counters.add("written")
-        link.connection.write(caches.get(order))
+        link.carry(a, caches.get(order))
 
     def drop(self, attempt: Attempt) -> None:
         where = self._where.pop(attempt, None)
--- a/starlinghaven/program/core.py
+++ b/starlinghaven/program/core.py
@@ -45,6 +45,7 @@
             streams=cfg.streams,
             idle_s=cfg.idle_s,
             most=max((cfg.sockets - RESERVE - front_sockets) // processes, cfg.sockets // STORES_LEAST),
+            whole_s=max(c.give_up_ms for c in cfg.settings.classes) / 1000,
         )
         self.log = changelog.ChangeLog(
             cfg.log_address, cfg.last, self.engine, self.memory, self.counters
--- a/starlinghaven/program/platform.py
+++ b/starlinghaven/program/platform.py
@@ -56,6 +56,11 @@
     def __init__(self, client: Client, tag: int, id: str) -> None:
         self._client, self._tag, self.id = client, tag, id
 
+    @property
+    def left(self) -> bool:
+        """Whether the client has gone: it took this back, or has ended its connection, read or not."""
+        return self._client.open.get(self._tag) is not self or self._client.connection.hung_up
+
     def answer(self, answer: Answer) -> None:
         match answer.result:
             case Result.SERVED:
@@ -237,8 +242,8 @@
         self.connection.write(text)
         self._answered_at = time.monotonic()
         self.ends_at = max(self.ends_at, time.monotonic() + (WHOLE_S if self.amid else IDLE_S))
-        if len(self._used) >= TAGS_APART and not self.busy:
-            self.connection.finish()
+        if len(self._used) >= TAGS_APART:
+            self._front.clients.close(self)
 
     @property
     def busy(self) -> bool:
--- a/starlinghaven/program/signed.py
+++ b/starlinghaven/program/signed.py
@@ -59,6 +59,10 @@
     def answer(self, answer: Answer) -> None:
         self._exchange.respond(response(answer))
 
+    @property
+    def left(self) -> bool:
+        return self._exchange.gone
+
 
 class Gate:
     """The keys, and the check that a token opens a URI."""
--- a/starlinghaven/router.py
+++ b/starlinghaven/router.py
@@ -673,8 +673,10 @@
         timeout = left if last or job.sent else FIRST_SHARE * left
         if left - timeout <= self._least(job):
             timeout = left  # no other could follow
+        window = job.c.window_ms - (self.now - job.ran_at) if job.ran else math.inf
+        begin = window if job.c.effect is i.Effect.KEYED else math.inf
         if store.m.kind == self.s.origin_kind:
-            out.append(i.Send(r.id, store.m.store, timeout))
+            out.append(i.Send(r.id, store.m.store, timeout, begin))
         else:
             age, join = job.c.fresh_ms, self.s.joins
             if (job.failed or job.held_only) and job.c.fresh_ms:
@@ -685,9 +687,7 @@
             source = source or (self.origins[0] if self.origins else store)
             renew = bool(job.c.fresh_ms) and self._purged_at(r) is None
             keep = UNKEPT if job.c.uncached else job.tier
-            out.append(
-                i.Get(r.id, store.m.store, timeout, source.m.store, keep, age, join=join, renew=renew)
-            )
+            out.append(i.Get(r.id, store.m.store, timeout, source.m.store, keep, age, join, renew, begin))
             if source is not store:
                 self._spend(source, job)
                 source.lent += 1
--- a/starlinghaven/routing/engine.py
+++ b/starlinghaven/routing/engine.py
@@ -47,6 +47,8 @@
 NOTES = {note.value: note for note in i.Note}
 TELLS_NOTHING = frozenset({i.Code.MISS, i.Code.MOOT, i.Code.CANCELLED})  # of the cache that was asked
 HEARD = frozenset({i.Code.OK, i.Code.MISS, i.Code.FULL, i.Code.ERROR})  # ends in which a store answered
+STALL_MS = 50.0  # ms that an event or a timer waited, from which fronts and stores are read before it counts
+TURNS = 3  # turns of the loop in which they are: one for the wait, one for the reading, one to spare
 
 
 @dataclass(eq=False, slots=True)
@@ -56,7 +58,7 @@
     ask: Ask
     ticket: Ticket
     deadline: float
-    attempts: int = 0
+    attempts: list[Attempt] = field(default_factory=list)
     last: i.Code | None = None  # how its last attempt ended
     lacking: bool = False  # that one could be filled, and no copy was to be had
 
@@ -96,11 +98,14 @@
         self._unserved, self._unserved_at = 0.0, clock.now()  # share of answers that did not serve, lately
         self.heard: set[str] = set()  # stores that answered since the start
         self.turned_at = clock.now()  # ms at which the engine last took events: a stall shows here
+        self._waits_since: float | None = None  # ms since when there has been something in the queue
 
     # -- for other tasks --------------------------------------------------------------------------
 
     async def post(self, event: Event) -> None:
         """The only way in. Waits while the queue is full."""
+        if self._waits_since is None:
+            self._waits_since = self.clock.now()
         await self._send.send(event)
 
     @property
@@ -185,16 +190,34 @@
     async def run(self, caches: CacheSide) -> None:
         self.caches = caches
         while True:
+            first: Event | None = None
             with trio.move_on_after(self._sleep_s()):
-                self.handle(await self._receive.receive())
-                self.turned_at = self.clock.now()
-                for _ in range(BATCH):
-                    try:
-                        self.handle(self._receive.receive_nowait())
-                    except trio.WouldBlock:
-                        break
+                first = await self._receive.receive()
+            await self._catch_up()
+            self.turned_at = self.clock.now()
+            if first is not None:
+                self.handle(first)
+            for _ in range(BATCH):
+                try:
+                    self.handle(self._receive.receive_nowait())
+                except trio.WouldBlock:
+                    self._waits_since = None
+                    break
             self.run_due()
 
+    async def _catch_up(self) -> None:
+        """After a stall, what came in meanwhile is read before anything is decided.
+
+        Guards clients that left and answers that came while the process stood still: their bytes lie
+        unread, and an attempt begun, or timed out, ahead of them would be wrong.
+        """
+        now = self.clock.now()
+        since = now if self._waits_since is None else self._waits_since
+        if now - min([since, *(due.when for due in self._due[:1])]) > STALL_MS:
+            self.counters.add("stalls")
+            for _ in range(TURNS):
+                await trio.lowlevel.checkpoint()
+
     def _sleep_s(self) -> float:
         return max(self._due[0].when - self.clock.now(), 0.0) / 1000 if self._due else math.inf
 
@@ -376,34 +399,63 @@
         self.caches.drop(a)
         self._settle(a, Ended(a, code if a.written else i.Code.NO_CONNECTION))
 
+    def may_begin(self, a: Attempt) -> bool:
+        """The one place that decides whether an attempt may begin. Asked right before it is written.
+
+        What was true when the Router decided may have passed since, in a queue, a dial or a stall: the
+        client has left, the window for a repeat is over, the store or the source of a fill is listed no
+        more, drains, or has another address.
+        """
+        request = self._open.get(a.request)
+        if request is None or request.ticket.left:
+            why = "left"
+        elif self.clock.now() >= a.begin_by:
+            why = "window"
+        elif not self._takes_new(a.store, a.address) or a.source and not self._takes_new(a.source):
+            why = "list"
+        else:
+            return True
+        self.counters.add(f"not_begun_{why}")
+        return False
+
+    def _takes_new(self, store: str, address: str = "") -> bool:
+        s = self._stores.get(store)
+        up = s is not None and s.phase is i.Phase.UP and store not in self._excluded
+        return up and (not address or s is not None and s.address == address)
+
     def _start(self, order: i.Send | i.Get) -> None:
         assert self.caches is not None
         request = self._open.get(order.request)
         if request is None:
             return
+        if request.ticket.left:  # the event that tells it may still be unread, or wait in the queue
+            self._left(request.ticket)
+            return
         now = self.clock.now()
         left = request.deadline - now
         store = self._stores.get(order.store)
         attempt = Attempt(
             ask=request.ask,
             request=order.request,
-            number=request.attempts,
+            number=len(request.attempts),
             store=order.store,
             address=store.address if store else "",
             timeout_ms=max(min(order.timeout_ms or left, left), 0.0),
             sent_ms=now,
+            begin_by=now + order.begin_ms,
+            before=request.attempts,
         )
         if isinstance(order, i.Get):
             attempt.source, attempt.keep, attempt.age_ms = order.source, order.keep, order.age_ms
             attempt.join, attempt.renew = order.join, order.renew
-        request.attempts += 1
+        request.attempts.append(attempt)
         self._attempts[order.request, attempt.number] = attempt
         self.counters.add("sent")
-        if store is None or attempt.number >= self._settings.most_attempts:
+        if attempt.number >= self._settings.most_attempts or not self.may_begin(attempt):
             self._settle(attempt, Ended(attempt, i.Code.MOOT))
             return
         self._at(now + attempt.timeout_ms, attempt)
-        if self.observer and self._own_cache(store):
+        if self.observer and store is not None and self._own_cache(store):
             self.observer.sent(attempt.store, now)
         self.caches.send(attempt)
 
--- a/starlinghaven/routing/types.py
+++ b/starlinghaven/routing/types.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Mapping
+import math
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass, field
 from enum import Enum, auto
 from typing import Protocol
@@ -36,6 +37,10 @@
 
     def answer(self, answer: Answer) -> None: ...
 
+    @property
+    def left(self) -> bool:
+        """Whether the client has gone, also where `Left` is still on its way through the queue."""
+
 
 @dataclass(frozen=True, slots=True)
 class Ask:
@@ -72,6 +77,9 @@
     age_ms: float = 0.0
     join: bool = False
     renew: bool = False
+    begin_by: float = math.inf  # ms of the clock from which it may not begin any more
+    before: Sequence[Attempt] = ()  # the request's attempts, this one too
+    link: object = None  # the connection on which it was written; its id is never used on it again
     written: bool = False  # it has gone out, in whole or in part, and may run
 
 
--- a/starlinghaven/transport/pool.py
+++ b/starlinghaven/transport/pool.py
@@ -4,7 +4,7 @@
 
 import logging
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Container
 from typing import Generic, TypeVar
 
 import trio
@@ -23,6 +23,7 @@
 SWEEP_S = 0.1  # seconds between two looks for connections that stopped in the middle of an answer
 SHARED = 4  # requests on a connection from which another one is dialed: a spoilt answer ends them all
 STUCK_S = 0.3  # seconds without a byte in the middle of an answer, after which nothing more is awaited
+WHOLE_S = 10.0  # seconds that one answer may take to come in, where nobody says how long clients wait
 
 
 class DialFailed(Exception):
@@ -37,16 +38,27 @@
         self.streams = 0  # requests open on it
         self.idle_since = trio.current_time()
         self.retired = False  # takes no new requests, closes with the last one
-        self.amid = False  # an answer has begun to come in and is not whole yet
+        self.amid_since: float | None = None  # when an answer began to come in that is not whole yet
         self._suspect = False
 
+    def reads(self, amid: bool) -> None:
+        """What has come in was used; whether a part of an answer is left."""
+        if not amid:
+            self.amid_since = None
+        elif self.amid_since is None:
+            self.amid_since = trio.current_time()
+
+    def amid_for(self, seconds: float) -> bool:
+        """Whether one answer has been coming in for so long."""
+        return self.amid_since is not None and trio.current_time() - self.amid_since > seconds
+
     def stuck(self) -> bool:
         """Whether an answer stopped in its middle: all that is open on the connection waits in vain.
 
         It must look so twice in a row, since the process may have been halted between two readings.
         """
         quiet = trio.current_time() - self.connection.heard_at > STUCK_S
-        was, self._suspect = self._suspect, self.amid and self.connection.reading and quiet
+        was, self._suspect = self._suspect, self.amid_for(0.0) and self.connection.reading and quiet
         return was and self._suspect
 
     async def feed(self, ring: object) -> int:
@@ -86,8 +98,9 @@
         streams: int,
         idle_s: float,
         most: int,
+        whole_s: float = WHOLE_S,
     ) -> None:
-        self._make, self._memory, self._dial_s = make, memory, dial_s
+        self._make, self._memory, self._dial_s, self._whole_s = make, memory, dial_s, whole_s
         self._streams, self._idle_s, self._most = streams, idle_s, most
         self._links: dict[Place, list[L]] = {}
         self._dialing: dict[Place, _Dial] = {}
@@ -105,8 +118,8 @@
         before = trio.current_time() - self._idle_s * 0.8  # ahead of the other side's own close
         for links in self._links.values():
             for link in links:
-                if link.stuck():
-                    log.warning("an answer stopped in its middle, its connection is closed")
+                if link.stuck() or link.amid_for(self._whole_s):
+                    log.warning("an answer stopped in its middle or never ends, its connection is closed")
                     link.connection.abort()
                 elif not link.streams and link.idle_since < before and not link.retired:
                     self.retire(link)
@@ -123,30 +136,34 @@
         if not link.streams:
             link.connection.finish()
 
-    def ready(self, place: Place) -> L | None:
+    def ready(self, place: Place, avoid: Container[object] = ()) -> L | None:
         """A connection with a free stream, the fullest first so that others can go idle.
 
-        One that is shared by many takes more only while another is being dialed, or where none is to be
-        had: all that is open on a connection ends with one answer that can't be read.
+        One that is shared by many, or on which one answer has been coming in for long, takes more only
+        while another is being dialed, or where none is to be had: all that is open on a connection ends
+        with one answer that can't be read. One that ends on either side, or that does not read what
+        waits for it, takes nothing.
         """
-        fit = [
-            k for k in self._links.get(place, ())
-            if not k.retired and not k.connection.closed and k.streams < self._streams
-        ]
-        few = [k for k in fit if k.streams < SHARED]
+        fit = [k for k in self._links.get(place, ()) if k not in avoid and self._takes_more(k)]
+        few = [k for k in fit if k.streams < SHARED and not k.amid_for(STUCK_S)]
         if few or not fit:
             return max(few, key=lambda k: k.streams, default=None)
         if place not in self._dialing and self.count < self._most // 2:
             self._start_dial(place)
         return min(fit, key=lambda k: k.streams)
 
-    async def link(self, place: Place) -> L:
+    def _takes_more(self, link: L) -> bool:
+        c = link.connection
+        free = not link.retired and link.streams < self._streams
+        return free and c.usable and not c.unsent and not c.hung_up
+
+    async def link(self, place: Place, avoid: Container[object] = ()) -> L:
         """A connection with a free stream; dialed if there is none. One dial at a time a store.
 
         The dial is the pool's own task: one caller who gives up must not end it for the others.
         """
         while True:
-            if found := self.ready(place):
+            if found := self.ready(place, avoid):
                 return found
             dial = self._dialing.get(place)
             if dial is None:
@@ -165,9 +182,10 @@
         return dial
 
     async def _dial(self, place: Place, dial: _Dial) -> None:
-        sock = trio.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        sock: trio.socket.SocketType | None = None
         link: L | None = None
         try:
+            sock = trio.socket.socket(socket.AF_INET, socket.SOCK_STREAM)  # may fail too: no descriptor left
             with trio.move_on_after(self._dial_s):
                 await sock.connect(split_address(place[1]))
                 link = self._make(place, Connection(sock, self._memory))
@@ -179,7 +197,8 @@
             del self._dialing[place]
             if link is None:
                 self.count -= 1
-                sock.close()
+                if sock is not None:
+                    sock.close()
             else:
                 self._links.setdefault(place, []).append(link)
             dial.done.set()
--- a/tests/steps.py
+++ b/tests/steps.py
@@ -43,6 +43,7 @@
 
     def __init__(self) -> None:
         self.answers: list[Answer] = []
+        self.left = False
 
     def answer(self, answer: Answer) -> None:
         self.answers.append(answer)
@@ -76,13 +77,18 @@
 
     def __init__(self) -> None:
         self.written: list[bytes] = []
-        self.closed = False
+        self.closed = self.hung_up = self.pending = False
         self.heard_at = 0.0
         self.remains = None
+        self.takes = True  # whether the system takes what is written
+        self.queued = self.sent = self.unsent = 0
 
     def write(self, data: bytes) -> None:
         if not self.closed:
             self.written.append(data)
+            self.queued += len(data)
+            if self.takes:
+                self.sent += len(data)
 
     def abort(self) -> None:
         self.closed = True
@@ -97,7 +103,11 @@
     """An engine's queue that only keeps what is posted."""
 
     def __init__(self) -> None:
-        self.clock, self.events = Time().clock(), list[Event]()
+        self.clock, self.events, self.counters = Time().clock(), list[Event](), Counters()
+        self.begins = True
+
+    def may_begin(self, attempt: Attempt) -> bool:
+        return self.begins
 
     async def post(self, event: Event) -> None:
         self.events.append(event)
--- a/tests/test_cache_side.py
+++ b/tests/test_cache_side.py
@@ -21,11 +21,9 @@
 from starlinghaven.transport.connection import Connection
 from starlinghaven.transport.pool import DialFailed
 from starlinghaven.transport.ring import Memory, Ring
-from tests.loopback import in_trio
+from tests.loopback import Words, in_trio, until
 from tests.steps import Posts, Wire, drive
 
-DROP = encode(b"DROP", b"00aa")
-
 
 def attempt(number: int = 0) -> Attempt:
     ask = Ask(id="00aa", cls=0, taken_ms=0.0, patience_ms=900.0, key="k")
@@ -63,7 +61,9 @@
         async with side() as (cache_side, posts):
             one, (up, wire, _) = attempt(), link(posts)
 
-            async def dial(_: str, one: Attempt = one, up: CacheLink = up, fails: bool = fails) -> CacheLink:
+            async def dial(
+                _: str, met: object, one: Attempt = one, up: CacheLink = up, fails: bool = fails
+            ) -> CacheLink:
                 await trio.lowlevel.checkpoint()
                 cache_side.drop(one)
                 if fails:
@@ -86,32 +86,81 @@
 
 
 @in_trio
-async def test_a_late_answer_under_an_id_used_again_is_followed_by_a_drop(tmp_path: Path) -> None:
-    """Else the later attempt, which may still be out, would run beside the next one."""
-    posts = Posts()
-    up, wire, where = link(posts)
-    first, second = attempt(), attempt(1)
-    for one in (first, second):
-        up.out["00aa"], where[one] = (one, 0.0), up
-        up.begin()
-        if one is first:
-            up.begin()  # something else is out, too
-            up.give_up(one)
-    says(up, b"00aa", b"overload", b"-", b"")
-    assert wire.written == [DROP, DROP] and posts.events == [Ended(second, i.Code.FULL)]
-    says(up, b"00aa", b"served", b"-", b"late")
-    assert len(posts.events) == 1, "an answer to a dropped id is ignored"
+async def test_an_id_is_written_once_on_a_connection_and_what_comes_late_there_ends_nothing(
+    tmp_path: Path,
+) -> None:
+    """A second answer, or one that crosses a DROP, would end the later attempt here while it goes on at the
+    store: the next would run beside it, and a "never ran" of the first be believed of the second."""
+    said = list[tuple[trio.SocketStream, list[bytes]]]()
+
+    async def store(stream: trio.SocketStream) -> None:
+        words = Words(stream)
+        while (message := await words.read()) is not None:
+            said.append((stream, message))
+
+    async with trio.open_nursery() as nursery:
+        (listener,) = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        nursery.start_soon(trio.serve_listeners, store, [listener])
+        address = f"127.0.0.1:{listener.socket.getsockname()[1]}"
+        async with side() as (cache_side, posts):
+            before: list[Attempt] = []
+            for n, how in enumerate((b"overload", b"drop", b"out")):
+                before.append(one := replace(attempt(n), address=address, before=before))
+                cache_side.send(one)
+                await until(lambda n=n: sum(m[0] == b"GET" for _, m in said) == n + 1)  # type: ignore[misc]
+                if how == b"drop":
+                    cache_side.drop(one)
+                elif how == b"overload":
+                    await said[0][0].send_all(encode(b"00aa", how, b"-", b""))
+                    await until(lambda: posts.events)
+            gets = [stream for stream, message in said if message[0] == b"GET"]
+            assert len(set(gets)) == 3, "each has a connection of its own"
+            for late in gets[:2]:
+                await late.send_all(encode(b"00aa", b"overload", b"-", b""))
+            await gets[2].send_all(encode(b"00aa", b"served", b"-", b"x"))
+            await until(lambda: len(posts.events) > 1)
+            await trio.testing.wait_all_tasks_blocked(0.05)
+            assert posts.events == [Ended(before[0], i.Code.FULL), Ended(before[2], i.Code.OK, b"x")]
+        nursery.cancel_scope.cancel()
 
 
 @in_trio
-async def test_what_is_out_when_a_connection_breaks_is_reset(tmp_path: Path) -> None:
+async def test_what_is_out_when_a_connection_breaks_is_reset_and_what_never_left_surely_never_ran(
+    tmp_path: Path,
+) -> None:
     posts = Posts()
-    up, _, where = link(posts)
-    one = attempt()
-    up.out["00aa"], where[one] = (one, 0.0), up
-    up.begin()
+    up, wire, where = link(posts)
+    one, other = attempt(), replace(attempt(), ask=replace(attempt().ask, id="00bb"))
+    up.carry(one, b"whole")
+    wire.takes = False
+    up.carry(other, b"kept back")
+    wire.sent += len(b"kept b")
     drive(up.ended())
-    assert posts.events == [Ended(one, i.Code.RESET)] and up.streams == 0 and where == {}
+    assert posts.events == [Ended(one, i.Code.RESET), Ended(other, i.Code.NO_CONNECTION)]
+    assert up.streams == 0 and where == {}
+
+
+@in_trio
+async def test_an_attempt_that_may_not_begin_when_its_dial_ends_is_not_written(tmp_path: Path) -> None:
+    """The peer takes the connection only once the decision has been turned: the dial crosses it."""
+    got = list[bytes]()
+
+    async def store(stream: trio.SocketStream) -> None:
+        async for data in stream:
+            got.append(bytes(data))
+
+    async with trio.open_nursery() as nursery:
+        (listener,) = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        nursery.start_soon(trio.serve_listeners, store, [listener])
+        async with side() as (cache_side, posts):
+            one = replace(attempt(), address=f"127.0.0.1:{listener.socket.getsockname()[1]}")
+            cache_side.send(one)  # no connection yet: its task dials
+            posts.begins = False
+            await until(lambda: posts.events)
+            assert posts.events == [Ended(one, i.Code.MOOT)] and not one.written
+            await trio.testing.wait_all_tasks_blocked(0.05)
+            assert got == []
+        nursery.cancel_scope.cancel()
 
 
 @in_trio
