Let a new process take its cold share as spent, and large requests go to cold stores

The operators' test of a store put back waited for the first call; the store counts as cold and the process as new, so it now waits up to 5 s for the same.

--- a/starlinghaven/router.py
+++ b/starlinghaven/router.py
@@ -166,7 +166,7 @@
         self.waiting: list[deque[tuple[float, tuple[int, int]]]] = [deque() for _ in settings.classes]
         self.counts: dict[str, float] = {}
         self.known = 0.0  # share of requests whose object was counted before, lately
-        self.halved = self.ranked = now
+        self.halved = self.ranked = self.began = now
         self.gold: dict[str, int] = {}  # object -> turn among its homes
         self.spread = i.Spread()  # what all proxies together counted
         self.purged: OrderedDict[str, float] = OrderedDict()  # object or group -> when
@@ -525,8 +525,9 @@
     def _affordable(self, s: _Store, job: _Job) -> bool:
         """Whether a cold store stays within what it bears from all proxies together.
 
-        A share of whole requests is an exact budget for each window. Among so many proxies that a
-        share is less than one request, each sends one now and then, from a start drawn by chance.
+        A share of whole requests is an exact budget for each window; a large one has it alone, as by the rule
+        each counts with its class's mean. Among so many proxies that a share is less than one request, each
+        sends one now and then, from a start drawn by chance.
         """
         if self._warmth(s) >= 1.0:
             s.spent.clear()
@@ -536,7 +537,8 @@
             s.total -= s.spent.popleft()[1]
         cost, share = self._work(job, whole=True), self._share(s)
         if max(self._mean(c) for c in range(len(self.s.classes))) <= share:
-            return s.total + cost <= share
+            # A life before this one may have spent the share.
+            return self.now >= self.began + self.s.fall_ms and (not s.spent or s.total + cost <= share)
         if s.free_at == -math.inf:
             s.free_at = self.now + self.random.random() * self._gap(s, cost)
         return self.now >= s.free_at
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -149,6 +149,7 @@
 
 def test_a_cold_cache_gets_no_more_than_this_proxys_share() -> None:
     d = Driver()
+    d.now += SETTINGS.fall_ms  # a process that just started takes its share as spent: see below
     d.say(Members(ListKind.PARTIAL, (replace(FLEET[0], started_ms=d.now),)))
     named = cold_sends(d, "cache-0", 400, 3000)
     mean = CLASSES[0].target_ms
@@ -161,12 +162,42 @@
 
 def test_a_cold_parent_gets_no_more_than_this_proxys_share_of_fills() -> None:
     d = Driver()
+    d.now += SETTINGS.fall_ms
     d.say(Members(ListKind.PARTIAL, (replace(FLEET[4], started_ms=d.now),)))
     named = cold_sends(d, "parent-0", 400, 1500)
     bears = 2 * 20 * 1500 / 4 * (0.1 + 0.9 * 1500 / 20_000)
     assert 0 < CLASSES[0].target_ms * len(named) <= bears
 
 
+def test_a_process_that_starts_takes_its_share_of_a_cold_budget_as_spent_by_the_one_before() -> None:
+    """Seven in ten restarted at once would else spend their shares twice within one window."""
+    d = Driver(tuple(replace(m, started_ms=START) if m.store == "cache-0" else m for m in FLEET))
+    named = []
+    for n in range(40):
+        d.now = START + 100 * n
+        if "cache-0" in stores_named(d.ask(f"o-{n}", patience=50_000.0)):
+            named.append(d.now - START)
+        d.end(code=Code.CANCELLED, final=True)
+    assert named and min(named) >= SETTINGS.fall_ms
+
+
+def test_the_largest_requests_get_to_a_cold_cache_too_one_a_window() -> None:
+    """By the rule each counts with its class's mean; by their own size they were over every share."""
+    d = Driver(tuple(replace(m, started_ms=START) if m.store == "cache-0" else m for m in FLEET))
+    d.router.s = replace(d.router.s, pace_kb_per_s=5000.0)
+    d.router.sending[0] = 400.0
+    named = []
+    for n in range(60):
+        d.now = START + SETTINGS.fall_ms + 50 * n
+        if "cache-0" in stores_named(d.ask(f"o-{n}", patience=90_000.0, size_kb=60_000.0)):
+            named.append(d.now)
+        d.end(code=Code.CANCELLED, final=True)
+        d.router.sending[0] = 400.0
+    assert 12_000 > d.router._share(d.router.stores["cache-0"]), "each is larger than the share"
+    assert len(named) >= 2, "it is not starved"
+    assert all(b - a >= SETTINGS.fall_ms for a, b in zip(named, named[1:], strict=False))
+
+
 @pytest.mark.parametrize("proxies", [40, 240])
 @pytest.mark.parametrize("name", ["cache-0", "parent-0"])
 @pytest.mark.parametrize("size_kb", [0.0, 10_000.0])
