Call a client's copy current only if the store named it, and advise no wait where none is allowed

A request refused at the program's end carried pushback also where the settings allow none (PlatformFront._call took most_wait_ms); one property, Settings.pushback_ms, stands for it in all five places. An attempt whose own time ended during its dial is not begun any more (Engine._start).

--- a/starlinghaven/interface.py
+++ b/starlinghaven/interface.py
@@ -138,6 +138,11 @@
     purge_done_ms: float = 0.0
     tells: bool = False  # other proxies hear what this one tells
 
+    @property
+    def pushback_ms(self) -> float:
+        """How long a refused client is told to stay away: nothing where the settings allow no advice."""
+        return self.most_wait_ms if self.advises_wait else 0.0
+
 
 def validate(s: Settings) -> None:
     """Names impossible settings at once rather than at night. Errors: ValueError."""
--- a/starlinghaven/plugin/grpc_client.py
+++ b/starlinghaven/plugin/grpc_client.py
@@ -168,7 +168,7 @@
                 self._send.send_nowait(event)
             except trio.WouldBlock:
                 if isinstance(event, Taken):
-                    wait = self.config.settings.most_wait_ms
+                    wait = self.config.settings.pushback_ms
                     event.ticket.answer(Answer(Result.REFUSED, wait_ms=wait))
 
         assert self._token is not None
--- a/starlinghaven/program/caches.py
+++ b/starlinghaven/program/caches.py
@@ -62,10 +62,15 @@
             return  # dropped or answered before: an id is written once on a connection
         del self._where[attempt], self._ends[said.id]
         self.done()
+        code = CODES[said.word]
+        if said.word == "still_good" and not (attempt.ask.have and said.rev == attempt.ask.have):
+            # Guards the client's copy: it is current only if the store named that copy.
+            self._engine.counters.add("bad_answers")
+            code = i.Code.ERROR
         await self._engine.post(
             Ended(
                 attempt,
-                CODES[said.word],
+                code,
                 said.body,
                 unchanged=said.word == "still_good",
                 tag=said.rev,
--- a/starlinghaven/program/platform.py
+++ b/starlinghaven/program/platform.py
@@ -177,7 +177,7 @@
         if any(t.id == call.id for t in self.open.values()):
             raise ProtocolError("the id of an open call is used again")
         if self._front.closed:
-            self.connection.write(platform.refused(call.tag, self._front.settings.most_wait_ms))
+            self.connection.write(platform.refused(call.tag, self._front.settings.pushback_ms))
             return
         cls = self._front.classes[call.cls]
         ticket = self.open[call.tag] = _Ticket(self, call.tag, call.id)
--- a/starlinghaven/router.py
+++ b/starlinghaven/router.py
@@ -820,7 +820,7 @@
         if not ran or job.c.effect is i.Effect.SAFE or (
             job.c.effect is i.Effect.KEYED and job.c.scope is i.Scope.ALL
         ):
-            out.append(i.Refuse(job.r.id, self.s.most_wait_ms if self.s.advises_wait else 0.0))
+            out.append(i.Refuse(job.r.id, self.s.pushback_ms))
         else:
             out.append(i.Fail(job.r.id))
 
--- a/starlinghaven/routing/engine.py
+++ b/starlinghaven/routing/engine.py
@@ -268,8 +268,7 @@
         ask = event.ask
         self.counters.add("taken")
         if len(self._open) >= MOST_OPEN:  # guards memory; the Router refuses long before
-            wait = self._settings.most_wait_ms if self._settings.advises_wait else 0.0
-            self._tell(event, Answer(Result.REFUSED, wait_ms=wait))
+            self._tell(event, Answer(Result.REFUSED, wait_ms=self._settings.pushback_ms))
             return
         if ask.id in self._ids:  # guards an open request: stores know it by its id alone
             self.counters.add("ids_again")
@@ -304,8 +303,7 @@
             return
         copy = self._copies.find(request.ask)
         if copy is None:
-            wait = self._settings.most_wait_ms if self._settings.advises_wait else 0.0
-            self._finish(number, Answer(Result.REFUSED, wait_ms=wait))
+            self._finish(number, Answer(Result.REFUSED, wait_ms=self._settings.pushback_ms))
             return
         self.counters.add("own_copies")
         unchanged = bool(request.ask.have) and request.ask.have == copy.tag
@@ -403,8 +401,8 @@
         """The one place that decides whether an attempt may begin. Asked right before it is written.
 
         What was true when the Router decided may have passed since, in a queue, a dial or a stall: the
-        client has left, the window for a repeat is over, the store or the source of a fill is listed no
-        more, drains, or has another address.
+        client has left, its own time or the window for a repeat is over, the store or the source of a fill
+        is listed no more, drains, or has another address.
         """
         request = self._open.get(a.request)
         if request is None or request.ticket.left:
@@ -442,9 +440,9 @@
             address=store.address if store else "",
             timeout_ms=max(min(order.timeout_ms or left, left), 0.0),
             sent_ms=now,
-            begin_by=now + order.begin_ms,
             before=request.attempts,
         )
+        attempt.begin_by = now + min(order.begin_ms, attempt.timeout_ms)
         if isinstance(order, i.Get):
             attempt.source, attempt.keep, attempt.age_ms = order.source, order.keep, order.age_ms
             attempt.join, attempt.renew = order.join, order.renew
--- a/starlinghaven/standins/platform.py
+++ b/starlinghaven/standins/platform.py
@@ -156,7 +156,8 @@
             body = f"{fields.get('k', '')}/{fields.get('p', '')}".encode() if word == "served" else b""
             if word == "served" and since != LONG_AGO:
                 body += f"/{since}".encode()  # clients see how old what they got is
-            said = f"rev=00aa,since={since},load=util:0.2;x1:0.1;x0:0.5".encode()
+            rev = fields.get("inm", "00aa") if word == "still_good" else "00aa"
+            said = f"rev={rev},since={since},load=util:0.2;x1:0.1;x0:0.5".encode()
             await words.write(name.encode(), word.encode(), said, body)
 
 
--- a/tests/test_cache_side.py
+++ b/tests/test_cache_side.py
@@ -163,6 +163,20 @@
         nursery.cancel_scope.cancel()
 
 
+@in_trio
+async def test_a_copy_is_current_only_if_the_store_named_the_one_the_client_has(tmp_path: Path) -> None:
+    for have, rev in (("", "00bb"), ("00aa", "00bb"), ("00aa", ""), ("00bb", "00bb")):
+        posts = Posts()
+        up, _, _ = link(posts)
+        one = attempt()
+        one.ask = replace(one.ask, have=have)
+        up.carry(one, b"GET")
+        says(up, b"00aa", b"still_good", f"rev={rev}".encode(), b"")
+        (ended,) = posts.events
+        assert isinstance(ended, Ended) and ended.code is (i.Code.OK if have == rev else i.Code.ERROR)
+        assert posts.counters["bad_answers"] == (have != rev)
+
+
 @in_trio
 async def test_a_store_that_breaks_the_protocol_loses_its_connection(tmp_path: Path) -> None:
     up, wire, _ = link(Posts())
--- a/tests/test_cold_sum.py
+++ b/tests/test_cold_sum.py
@@ -47,6 +47,7 @@
         usual(self, *given)  # type: ignore[arg-type]
         self.began = float("-inf")
 
-    assert not any(run(Plan(3, seed, again=1.0, weight=40.0, calls_per_s=1_000.0)).windows_over for seed in range(4))
+    plans = [Plan(3, seed, again=1.0, weight=40.0, calls_per_s=1_000.0) for seed in range(4)]
+    assert not any(run(plan).windows_over for plan in plans)
     monkeypatch.setattr(Router, "__init__", forgets)
-    assert any(run(Plan(3, seed, again=1.0, weight=40.0, calls_per_s=1_000.0)).windows_over for seed in range(4))
+    assert any(run(plan).windows_over for plan in plans)
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -27,7 +27,7 @@
 from starlinghaven.transport.pool import DialFailed
 from starlinghaven.transport.ring import Memory, Ring
 from tests.helpers import PAY, Driver
-from tests.loopback import KEY, Program, free_port, in_trio, program, until
+from tests.loopback import KEY, SETTINGS, Program, free_port, in_trio, program, until
 from tests.steps import STORES, Recorder, Stores, Time, engine
 from tests.test_transport import echo, pool
 
@@ -348,6 +348,7 @@
     made = engine(time, stores, classes=(*Driver().router.s.classes[:PAY], keyed))
     taken(made, Recorder(), cls=PAY)
     (attempt,) = stores.sent
+    assert attempt.begin_by == made.clock.now() + attempt.timeout_ms, "and never after its own time"
     attempt.begin_by = made.clock.now() + 400
     time.s += 0.399
     assert made.may_begin(attempt)
@@ -426,8 +427,9 @@
 
 @in_trio
 async def test_who_waits_in_the_accept_queue_at_the_end_is_refused_and_not_reset(tmp_path: Path) -> None:
-    more = {"limits": {"cores": 1.0, "memory_mb": 192, "sockets": 8}}  # four places for clients
-    async with program(tmp_path, more=more) as p:
+    limits = {"cores": 1.0, "memory_mb": 192, "sockets": 8}  # four places for clients
+    silent = SETTINGS | {"PolicyLimits": SETTINGS["PolicyLimits"] | {"RetryAfter": False}}
+    async with program(tmp_path, more={"limits": limits, "settings": silent}) as p:
         p.archive.plan[KEY] = (2.0, "served")
         busy = [await p.client() for _ in range(4)]
         for client in busy:
@@ -437,7 +439,7 @@
         await waiting.send(key="00000000000000aa", ttl="6000")
         p.process.send_signal(signal.SIGTERM)
         answer = await waiting.words.read()
-        assert answer is not None and answer[1] == b"REJECT"
+        assert answer is not None and answer[1:] == [b"REJECT", b"", b""], "no advice where none is allowed"
         for client in busy:
             answer = await client.words.read()
             assert answer is not None and answer[1] == b"RESULT"
