Keep a keyed repeat in its group also behind a cache that holds nothing, and re-decide after a purge's grace

Seen in reading: Router._behind took a parent from _sources without _allowed. A keyed request of scope zone or cell that may have run (a reset first), then missed at a cache asked only for held copies, went to a parent outside its group: a repeated effect. The test fails without it. An attempt that waits for a dial longer than the purge's grace would carry the age decided before a purge told meanwhile: begin_by ends there, from the settings, and the Router decides anew.

--- a/starlinghaven/benchlink.py
+++ b/starlinghaven/benchlink.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import math
 import sys
 from collections.abc import Iterator
 from typing import Any, TextIO
@@ -92,6 +93,7 @@
         parent_cold_ms=fam.get("ParentColdMs", 0.0),
         parent_fall_multiple=fam.get("ParentLimitFactor", 1.0),
         purge_done_ms=fam.get("ClearedWithinMs", 0.0),
+        purge_grace_ms=fam.get("PurgeSlackMs", math.inf),
     )
 
 
--- a/starlinghaven/interface.py
+++ b/starlinghaven/interface.py
@@ -136,6 +136,7 @@
     parent_cold_ms: float = 0.0
     parent_fall_multiple: float = 1.0
     purge_done_ms: float = 0.0
+    purge_grace_ms: float = math.inf  # from so long after it was told, a purge binds what is sent
     tells: bool = False  # other proxies hear what this one tells
 
     @property
@@ -148,7 +149,7 @@
     """Names impossible settings at once rather than at night. Errors: ValueError."""
     above = ["fall_ms", "fall_multiple", "parent_fall_multiple", "proxies", "most_attempts"]
     shares = ["cold_from", "parent_cold_from"]
-    least = ["cold_ms", "parent_cold_ms", "purge_done_ms", "most_wait_ms", "zone"]
+    least = ["cold_ms", "parent_cold_ms", "purge_done_ms", "purge_grace_ms", "most_wait_ms", "zone"]
     checks: list[tuple[object, str, bool]] = [(s, name, getattr(s, name) > 0) for name in above]
     checks += [(s, name, 0 < getattr(s, name) <= 1) for name in shares]
     checks += [(s, name, getattr(s, name) >= 0) for name in least]
--- a/starlinghaven/router.py
+++ b/starlinghaven/router.py
@@ -804,7 +804,7 @@
         Guards against jams behind the caches (a slow origin, flushed caches): a parent still holds much
         and sends it at once, where a fill would wait for the origin. Cheap: it costs no fill.
         """
-        parents = [s for s in self._sources(job) if s in self.parents and s.m.store != flight.store]
+        parents = [s for s in self._allowed(job, self._sources(job)) if s in self.parents]
         none = not parents or flight.store in (p.m.store for p in self.parents)
         if not self.s.direct or none or self._link_full(job) or parents[0].bad >= SICK / 2:
             return self._give_up(job, out)
--- a/starlinghaven/routing/engine.py
+++ b/starlinghaven/routing/engine.py
@@ -401,8 +401,8 @@
         """The one place that decides whether an attempt may begin. Asked right before it is written.
 
         What was true when the Router decided may have passed since, in a queue, a dial or a stall: the
-        client has left, its own time or the window for a repeat is over, the store or the source of a fill
-        is listed no more, drains, or has another address.
+        client has left, its own time, the window for a repeat or the grace of a purge is over, the store or
+        the source of a fill is listed no more, drains, or has another address.
         """
         request = self._open.get(a.request)
         if request is None or request.ticket.left:
@@ -442,7 +442,8 @@
             sent_ms=now,
             before=request.attempts,
         )
-        attempt.begin_by = now + min(order.begin_ms, attempt.timeout_ms)
+        # What a dial keeps longer is decided anew: a purge told meanwhile would not bound its copy's age.
+        attempt.begin_by = now + min(order.begin_ms, attempt.timeout_ms, self._settings.purge_grace_ms)
         if isinstance(order, i.Get):
             attempt.source, attempt.keep, attempt.age_ms = order.source, order.keep, order.age_ms
             attempt.join, attempt.renew = order.join, order.renew
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import os
 import resource
 import signal
@@ -349,6 +350,9 @@
     taken(made, Recorder(), cls=PAY)
     (attempt,) = stores.sent
     assert attempt.begin_by == made.clock.now() + attempt.timeout_ms, "and never after its own time"
+    pressed = engine(time, other := Stores(), purge_grace_ms=150.0)
+    taken(pressed, Recorder())
+    assert other.sent[0].begin_by == pressed.clock.now() + 150, "a purge told later must bind it"
     attempt.begin_by = made.clock.now() + 400
     time.s += 0.399
     assert made.may_begin(attempt)
@@ -446,6 +450,24 @@
         assert await p.exit_code() == 0
 
 
+@in_trio
+async def test_half_a_message_can_not_hold_the_programs_end(tmp_path: Path) -> None:
+    """Its own time is not over, and it goes on sending: the end is bounded all the same."""
+    async with program(tmp_path) as p:
+        peer, whole = dial(p.port), encode(b"RPC.HEALTH", b"1", bytes(4_000))
+        p.process.send_signal(signal.SIGTERM)
+        await p.logged("draining")
+        with trio.fail_after(5):  # the window, the flush and some slack
+            for n in range(len(whole) - 1):
+                with contextlib.suppress(OSError):
+                    peer.send(whole[n : n + 1])
+                if p.process.poll() is not None:
+                    break
+                await trio.sleep(0.005)
+        assert await p.exit_code() == 0
+        peer.close()
+
+
 # -- the change log -------------------------------------------------------------------------------
 
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -115,6 +115,16 @@
     assert d.end(1, Code.ERROR, took_ms=900.0) == [Fail(1)], "the window is over; a refusal may not be said"
 
 
+def test_a_keyed_request_stays_within_its_group_also_behind_a_cache_that_holds_nothing() -> None:
+    """Fills come late, so only held copies are asked for; a parent stands in another zone."""
+    d = Driver(classes=keyed(Scope.ZONE))
+    d.router.asked = 40.0
+    first = d.get(d.ask("k"))
+    second = d.get(d.end(0, Code.RESET, store=first.store))
+    assert first.source == first.store and second.source == second.store
+    assert d.end(1, Code.MISS, store=second.store) == [Fail(1)]
+
+
 def test_a_keyed_request_of_one_group_may_be_refused() -> None:
     d = Driver(classes=keyed(Scope.ALL), most_attempts=1)
     d.ask("k")
