Let all connections linger at the program's end, and keep places when descriptors run out

Seen in reading the mend once more: the bound on lingering connections, meant for floods, also held at the end, where all resting connections close in one look: all but 16 were cut off, and what crossed met a reset. It holds only while new ones are accepted, and is a quarter of the places at most. EMFILE took 16 places off the present number each time, lingering ones not counted, down to one; it now leaves a fifth, and never less than half, of what is held. test_a_request_that_crosses_the_programs_end closes 49 resting connections and fails without it.

--- a/starlinghaven/transport/listener.py
+++ b/starlinghaven/transport/listener.py
@@ -21,7 +21,7 @@
 
 BACKLOG = 512
 PAUSE_S = 0.05  # seconds without accepting after descriptors or memory ran out
-LINGERING = 16  # connections in their lingering close, beyond the places; the longest gives way to a new one
+LINGERING = 16  # connections in their lingering close beyond the places, at most a quarter of these
 FEWER = 16  # descriptors left to others once they ran out before the places did
 
 Serve = Callable[[Connection], Awaitable[None]]
@@ -171,7 +171,8 @@
                     if error.errno in (errno.EMFILE, errno.ENFILE):
                         # Fewer places from now on: whoever holds them idle must not keep descriptors from
                         # the change log and the stores.
-                        self._most = max(min(self._most, self.count - FEWER), 1)
+                        held = self.count + len(self._lingering)
+                        self._most = max(min(self._most, max((held - FEWER) * 4 // 5, held // 2)), 1)
                         if self._shed():
                             continue
                     await trio.sleep(PAUSE_S)
@@ -226,9 +227,13 @@
                 self.gate.release(ticket)
 
     def _linger(self, connection: Connection) -> None:
-        """Its place is free once it has shut its sending side: what is left is bounded in time and number."""
+        """Its place is free once it has shut its sending side: what is left is bounded in time and number.
+
+        The number is for floods. Once nothing more is accepted all may linger: their places are not needed.
+        """
         self.count -= 1
         self._lingering[connection] = None
         self._left.set()
-        if len(self._lingering) > LINGERING:
+        most = min(LINGERING, max(self._most // 4, 1))
+        if len(self._lingering) > most and not self._accepting.cancel_called:
             next(iter(self._lingering)).abort()
