Play what follows from a state once all have come to it, in the lab's process tests

Seen: the heal came at a fixed second. On a starved machine some member still only suspected one beyond the cut then, a suspect is probed, and one probe is enough for all to agree. The mutant's verdict hung on how soon the machine got there; the same mutant on virtual time (test_fleet_simulated) never agreed.

The lab has two steps now, await-alive and await-failed: the scenario's clock stands still until the living on each side hold all on the other for that, read from their consoles, 100 s at most. The cases "seven in ten", "cut off" and "stopped" use them before a fault that needs the state; a stalled process is resumed by a step. What a proxy owes is excused from SIGSTOP to SIGCONT, and not for 20 s after a SIGSTOP whatever came then (checks.one_final_answer; both ways planted in test_fleet_lab).

--- a/starlinghaven/lab/checks.py
+++ b/starlinghaven/lab/checks.py
@@ -16,7 +16,7 @@
     """Each request got exactly one final answer, unless its proxy was killed, stalled or ended by then."""
     asked: dict[tuple[int, int], Entry] = {}
     answers: dict[tuple[int, int], int] = defaultdict(int)
-    excused: dict[int, list[float]] = defaultdict(list)
+    excused: dict[int, list[tuple[float, float]]] = defaultdict(list)  # from when to when it was not itself
     end: float = history[-1]["t"] if history else 0.0
     for e in history:
         match e["what"]:
@@ -26,13 +26,17 @@
                 end = e["t"]
             case "answer":
                 answers[e["proxy"], e["n"]] += 1
-            case "kill" | "stall" | "term":
-                excused[e["proxy"]].append(e["t"])
+            case "kill" | "term":
+                excused[e["proxy"]].append((e["t"], e["t"]))
+            case "stall":
+                excused[e["proxy"]].append((e["t"], float("inf")))
+            case "resume":
+                excused[e["proxy"]][-1:] = [(excused[e["proxy"]][-1][0], e["t"])]
     for key, e in asked.items():
         wanted = e["t"] + e["ttl"] / 1000 + 0.5
         if answers[key] > 1:
             yield f"request {key[1]} to proxy {key[0]}: {answers[key]} answers"
-        down = any(e["t"] - 20.0 <= t <= wanted for t in excused[key[0]])
+        down = any(e["t"] - 20.0 <= until and since <= wanted for since, until in excused[key[0]])
         if not answers[key] and wanted < end and not down and not e.get("unsent"):
             yield f"request {key[1]} to proxy {key[0]} at {e['t']} s: no answer"
     for key in answers.keys() - asked.keys():
--- a/starlinghaven/lab/rig.py
+++ b/starlinghaven/lab/rig.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import gc
 import json
 import os
@@ -31,6 +32,7 @@
 OBJECTS = 400  # that clients ask for, Zipf 1.0
 STARTS_AT_ONCE = 16  # processes that load at the same time: more only makes each of them slower
 READY_S = 120.0
+AWAITED_S, AWAIT_EVERY_S = 100.0, 0.25  # seconds that a step waits for a state at most, and between two looks
 LAG_EVERY_S, LAG_S = 0.05, 0.1  # seconds between two looks at the lab's own lateness, and what counts as late
 KINDS = {"cache": ("edge-1", "petit"), "parent": ("nord", "parent"), "origin": ("nord", "origin")}
 
@@ -81,6 +83,7 @@
         self.relays: dict[str, StreamRelay] = {}
         self.live: Counter[str] = Counter()
         self._looks = 0
+        self._held = 0.0  # seconds for which steps have waited for a state: the scenario's clock stood still
         self._keys = [f"{k:016x}" for k in range(1, OBJECTS + 1)]
         self._weights = [1 / (k + 1) for k in range(OBJECTS)]
 
@@ -135,7 +138,7 @@
     async def _live(self) -> None:
         started = trio.current_time()
         self._used()
-        while (played := trio.current_time() - started) < self.scenario.seconds:
+        while (played := trio.current_time() - started - self._held) < self.scenario.seconds:
             self.history.add("passed", bytes=sum(self.relay.delivered))
             if self._tell:
                 self._tell(played, dict(self.live) | {"up": sum(p.up for p in self.proxies)})
@@ -146,7 +149,8 @@
     async def _play_out(self) -> None:
         started = trio.current_time()
         for step in self.scenario.steps:
-            await trio.sleep_until(started + step.at)
+            while (left := started + self._held + step.at - trio.current_time()) > 0:
+                await trio.sleep(left)
             await self._do(step)
 
     def _save(self) -> None:
@@ -246,7 +250,9 @@
             case "network":
                 self.faults.network(**figures)
                 self.history.add("network", **figures)
-            case "kill" | "term" | "stall" | "start":
+            case "await-alive" | "await-failed":
+                await self._await(step.what.removeprefix("await-"), *step.on)
+            case "kill" | "term" | "stall" | "resume" | "start":
                 for number in step.on[0]:
                     await self._on_process(step.what, self.proxies[number], figures)
             case "look":
@@ -267,23 +273,31 @@
             return
         if not proxy.up or proxy.process is None:
             return
+        if what == "resume":
+            self._resume(proxy, proxy.process)
+            return
         self.history.add(what, proxy=proxy.number)
         if what == "stall":
             os.kill(proxy.process.pid, signal.SIGSTOP)
             proxy.stalled = True
-            trio.lowlevel.spawn_system_task(self._resume, proxy, proxy.process, figures.get("seconds", 5.0))
+            trio.lowlevel.spawn_system_task(
+                self._resume_later, proxy, proxy.process, figures.get("seconds", 5.0)
+            )
         else:
             proxy.process.send_signal(signal.SIGKILL if what == "kill" else signal.SIGTERM)
             if what == "kill":
                 await proxy.process.wait()
 
-    async def _resume(self, proxy: Proxy, process: trio.Process, after: float) -> None:
+    async def _resume_later(self, proxy: Proxy, process: trio.Process, after: float) -> None:
         await trio.sleep(after)
+        if proxy.process is process and proxy.stalled:
+            self._resume(proxy, process)
+
+    def _resume(self, proxy: Proxy, process: trio.Process) -> None:
         if process.returncode is None:
             os.kill(process.pid, signal.SIGCONT)
             self.history.add("resume", proxy=proxy.number)
-        if proxy.process is process:
-            proxy.stalled = False
+        proxy.stalled = False
 
     def _on_store(self, what: str, name: str, figures: dict[str, float]) -> None:
         store = self.ids[name]
@@ -307,6 +321,31 @@
 
     # -- looking ----------------------------------------------------------------------------------
 
+    async def _await(self, state: str, one: tuple[int, ...], other: tuple[int, ...]) -> None:
+        """Returns once the living on each side hold all on the other to be in this state.
+
+        For what follows from that state: how soon a starved machine comes to it must not decide a verdict.
+        """
+
+        async def holds(number: int, others: tuple[int, ...]) -> bool:
+            proxy = self.proxies[number]
+            if not proxy.up or proxy.stalled:
+                return True
+            with trio.move_on_after(AWAITED_S), contextlib.suppress(OSError):
+                rows = [line.split() for line in await operator(self._console, "members", proxy.host)]
+                states = {int(r[0]): r[2] for r in rows if r[0].isdigit()}
+                return all(states.get(m) == state for m in others if m != number)
+            return False
+
+        asked = [(n, other) for n in one] + [(n, one) for n in other]
+        started, held = trio.current_time(), self._held
+        while not all([await holds(*each) for each in asked]):
+            if self._held - held > AWAITED_S:
+                raise RuntimeError(f"{one} and {other} not {state} to each other in {AWAITED_S} s")
+            await trio.sleep(AWAIT_EVERY_S)
+            self._held = held + trio.current_time() - started
+        self.history.add("awaited", state=state, s=round(self._held - held, 3))
+
     async def _look(self) -> None:
         """Asks every living proxy for its members and its stance."""
         self._looks += 1
--- a/starlinghaven/lab/scenario.py
+++ b/starlinghaven/lab/scenario.py
@@ -12,10 +12,10 @@
     }
 
 Steps: cut A B, one-way A B, heal, network loss= double= delay-ms=, kill A, term A, start A, stall A seconds=,
-silent STORE, erring STORE, serving STORE, slow STORE seconds=, drain STORE, purge, flush STORE,
-look (asks every proxy for its members). A, B: numbers as "0-3,7", or a share as "0.7" of all, drawn by the
-seed. STORE: a name as
-"cache-0", "parent-1" or "origin".
+resume A, silent STORE, erring STORE, serving STORE, slow STORE seconds=, drain STORE, purge, flush STORE,
+look (asks every proxy for its members), await-alive A B and await-failed A B (until the living of A hold all
+of B for alive or failed, and those of B all of A; the scenario's clock stands still meanwhile). A, B: numbers
+as "0-3,7", or a share as "0.7" of all, drawn by the seed. STORE: a name as "cache-0", "parent-1" or "origin".
 """
 
 from __future__ import annotations
@@ -31,6 +31,7 @@
 TAKES = {  # step -> arguments, and properties with a type each
     "cut": (2, ()), "one-way": (2, ()), "heal": (0, ()), "network": (0, ("loss", "double", "delay-ms")),
     "kill": (1, ()), "term": (1, ()), "start": (1, ()), "stall": (1, ("seconds",)),
+    "resume": (1, ()), "await-alive": (2, ()), "await-failed": (2, ()),
     "silent": (1, ()), "erring": (1, ()), "serving": (1, ()), "slow": (1, ("seconds",)),
     "drain": (1, ()), "purge": (0, ()), "flush": (1, ()), "look": (0, ()),
 }  # fmt: skip
--- a/tests/test_fleet_lab.py
+++ b/tests/test_fleet_lab.py
@@ -31,6 +31,7 @@
         ('scenario "x" { at 1.0 { kill "a-b" } }', "names no members"),
         ('scenario "x" { at 1.0 { kill } }', "want 1 arguments"),
         ('scenario "x" { at 1.0 { silent "parent-7" } }', "no store"),
+        ('scenario "x" { at 1.0 { await-failed "0" } }', "want 2 arguments"),
         ('scenario "x" { at 1.0 { network speed=3 } }', "want 0 arguments"),
         ('scenario "x" { seconds "long" }', "want one number"),
         ('scenario "x" { proxies 5000 }', "proxies"),
@@ -73,6 +74,7 @@
 ASK = {"t": 1.0, "what": "ask", "proxy": 0, "n": 1, "key": "a", "ttl": 2500}
 ANSWER = {"t": 1.1, "what": "answer", "proxy": 0, "n": 1, "key": "a", "word": "RESULT", "since": 0}
 ORDER = {"t": 1.0, "what": "order", "call": "c", "store": "s1"}
+STALL = {"t": 1.0, "what": "stall", "proxy": 0}
 END = {"t": 30.0, "what": "peers", "longest": 250}
 LOOK = {"t": 9.0, "what": "members", "look": 1, "proxy": 0, "alive": [0, 1], "truth": [0, 1]}
 Check = Callable[[Sequence[Entry]], Iterator[str]]
@@ -80,6 +82,11 @@
     (checks.one_final_answer, [ASK, ANSWER, END], [ASK, END]),
     (checks.one_final_answer, [ASK, {"t": 2.0, "what": "kill", "proxy": 0}, END], [ASK, ANSWER, ANSWER, END]),
     (checks.one_final_answer, [ASK | {"unsent": True}, END], [ANSWER, END]),
+    (
+        checks.one_final_answer,
+        [STALL, ASK | {"t": 40.0}, STALL | {"what": "resume", "t": 60.0}, END | {"t": 99.0}],
+        [STALL, STALL | {"what": "resume", "t": 9.0}, ASK | {"t": 40.0}, END | {"t": 99.0}],
+    ),
     (
         checks.never_two_at_once,
         [ORDER, ORDER | {"what": "drop", "t": 1.2}, ORDER | {"store": "s2", "t": 1.3}],
--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -1,7 +1,9 @@
 """Real processes of the program with faults between them, judged on outcomes and counts.
 
 All cases of a group play side by side, each with its own processes on its own ports. A case whose part
-is taken out plays beside it, with the program started without that part, and must show the difference.
+is taken out plays beside it, with the program started without that part, and must show the difference. What
+follows from a state (a cut that all have seen, healed) is played once all have come to it: `await-alive` and
+`await-failed`.
 """
 
 from __future__ import annotations
@@ -26,16 +28,17 @@
 AT_ONCE = 5  # cases that play at the same time: their relays and clients all share this one process
 CASES = {
     "seven in ten": """scenario "x" { proxies 20; seconds 34; rate 1.0
-        at 2.0 { kill "0-13" }
-        at 22.0 { look; start "0-13" } }""",
+        at 2.0 { await-alive "0-13" "14-19"; kill "0-13" }
+        at 22.0 { await-failed "0-13" "14-19"; look; start "0-13" } }""",
     "cut off": """scenario "x" { proxies 10; seconds 34; rate 1.0
-        at 2.0 { cut "0-1" "2-9" }
-        at 20.0 { look; heal } }""",
+        at 2.0 { await-alive "0-1" "2-9"; cut "0-1" "2-9" }
+        at 20.0 { await-failed "0-1" "2-9"; look; heal } }""",
     "one way": """scenario "x" { proxies 8; seconds 16; rate 1.0
         at 2.0 { one-way "0" "1-3" } }""",
     "stopped": """scenario "x" { proxies 8; seconds 26; rate 1.0
-        at 2.0 { stall "3" seconds=10.0 }
-        at 10.0 { look } }""",
+        at 2.0 { await-alive "3" "0-2,4-7"; stall "3" seconds=200.0 }
+        at 10.0 { await-failed "3" "0-2,4-7"; look }
+        at 12.0 { resume "3" } }""",
     "two restarts": """scenario "x" { proxies 8; seconds 16; rate 1.0
         at 3.0 { kill "5" }
         at 3.2 { start "5" }
