Let the lab's client close by the clock what has rested, also when the lab is late

KNOWN-RED's proof with 200 processes failed on requests with no answer. The client meant to close after 3.5 s, but counted what it had wanted to sleep (rig.py, `while wait < IDLE_S`), not what had passed. The platform's clients close after 4 s.

It now looks at the clock before each ask, and before it closes waits for what is open. The test lets the lab stand still for 6 s amid a run of 8 processes: without the mend requests got no answer.

--- a/starlinghaven/lab/rig.py
+++ b/starlinghaven/lab/rig.py
@@ -390,13 +390,16 @@
                 continue
             open_: dict[int, tuple[int, str]] = {}
             async with stream, trio.open_nursery() as nursery:
-                client, wait = Client(stream), 0.0
+                client, used = Client(stream), trio.current_time()
                 nursery.start_soon(self._listen, proxy, client, open_, nursery.cancel_scope)
-                while wait < IDLE_S:
-                    number += 1
+                # By the clock, not by what was to be slept: a late lab would write to one that is closed.
+                while trio.current_time() - used < IDLE_S:
+                    number, used = number + 1, trio.current_time()
                     await self._send(proxy, client, open_, number, random)
-                    wait = random.expovariate(self.scenario.rate)
-                    await trio.sleep(min(wait, IDLE_S))  # after that nothing is open any more
+                    await trio.sleep(min(random.expovariate(self.scenario.rate), IDLE_S))
+                with trio.move_on_after(TTL_MS / 1000 + 1):
+                    while open_:  # answered by now, but a late lab has not read it
+                        await trio.sleep(0.01)
                 nursery.cancel_scope.cancel()
 
     async def _send(
--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -12,6 +12,7 @@
 import signal
 import subprocess
 import sys
+import time
 from collections import Counter
 from collections.abc import Sequence
 from pathlib import Path
@@ -261,6 +262,29 @@
             os.kill(pid, 0)
 
 
+class LateRig(Rig):
+    """Stands still for longer than a proxy keeps an idle connection, as on a starved machine."""
+
+    async def _watch_lag(self) -> None:
+        await trio.sleep(3.0)
+        time.sleep(6.0)
+        await super()._watch_lag()
+
+
+def test_a_lab_that_is_late_writes_to_no_connection_that_has_rested_too_long(tmp_path: Path) -> None:
+    text = 'scenario "x" { proxies 8; seconds 14; rate 1.0 }'
+
+    async def late() -> None:
+        with trio.fail_after(MOST_S):
+            await LateRig(scenario.parse(text), tmp_path).run()
+
+    trio.run(late)
+    history = read(tmp_path / "history.jsonl")
+    assert broken(history, "members_agree") == {}
+    assert sum(e["what"] == "ask" and e["t"] > 9.0 for e in history) > 8
+    assert not [e for e in history if e["what"] == "lost"]
+
+
 def test_a_hundred_processes_that_start_at_once_know_each_other_and_lose_ten(tmp_path: Path) -> None:
     """A storm: bounded datagrams, one view; then ten die at once, and ninety know it."""
     text = """scenario "x" { proxies 100; seconds 30; rate 0.5
