Let stores that can't be reached rest whatever their peers do, and the origin fill meanwhile

At fault: Router._worse lets a store rest only beside a clearly better one, so of two lost parents none rested, and _sources put the origin behind both.

A store that failed gravely since it last worked (no connection, or unreached as a source: surely nothing runs or queues there) rests by its own trouble; a parent that rests so is no source. Refusals and lateness count as before: a test holds that parents that only refuse are not passed by together.

--- a/starlinghaven/router.py
+++ b/starlinghaven/router.py
@@ -96,7 +96,7 @@
 
     __slots__ = (
         *("m", "out", "lent", "others", "busy", "hits", "told", "bad", "failed_at", "until", "rest"),
-        *("spent", "total", "free_at", "heard", "named", "share", "up"),
+        *("spent", "total", "free_at", "heard", "named", "share", "up", "lost"),
     )
 
     def __init__(self, member: i.Member) -> None:
@@ -109,6 +109,7 @@
         self.bad, self.failed_at, self.until, self.rest = 0.0, -math.inf, -math.inf, REST_MS
         self.named = 0  # other proxies that call it silent, less those that say it serves
         self.up = False  # its last attempt was answered, so a connection to it is up
+        self.lost = False  # it could not be reached since it last worked
         self.share = 1.0  # weight in the hash that all proxies together found
         self.spent: deque[tuple[float, float]] = deque()  # cold budget: when and how much
         self.total = 0.0
@@ -116,9 +117,10 @@
 
     def failed(self, weight: float, now: float) -> None:
         self.bad, self.failed_at = self.bad + weight * (1.0 - self.bad), now
+        self.lost = self.lost or weight >= GRAVE
 
     def worked(self, weight: float) -> None:
-        self.bad -= weight * self.bad
+        self.bad, self.lost = self.bad - weight * self.bad, False
         if self.bad < SICK / 2:
             self.rest, self.until = REST_MS, -math.inf
 
@@ -321,9 +323,9 @@
                 self.ranked_for.clear()
 
     def _sources(self, job: _Job) -> list[_Store]:
-        """Where a miss may be filled from: parents by the hash of the object, then the origin."""
+        """Where a miss may be filled from: parents that are reached, by the hash, then the origin."""
         well = self._well(self._ranking(self.parents, job.r.key))
-        fit = [s for s in well if self._affordable(s, job)]
+        fit = [s for s in well if self._affordable(s, job) and not (s.lost and s.until > self.now)]
         return [s for s in fit + self.origins if s.m.store not in job.used]
 
     # -- health and load ----------------------------------------------------------------------
@@ -374,9 +376,8 @@
         """
         if o.code is i.Code.ERROR or o.code is i.Code.TIMEOUT and not flight.late:
             return  # whether an error is the store's shows when another one serves the request
-        store, source = self.stores.get(flight.store), self.stores.get(flight.source)
-        if source is store:
-            source = None
+        store = self.stores.get(flight.store)
+        source = self.stores.get(flight.source) if flight.source != flight.store else None
         if not flight.late and o.note not in (i.Note.HIT, i.Note.STALE):
             if o.code is i.Code.OK or o.code in UNCLEAR:
                 self._filled(flight, float(o.code is i.Code.OK))
@@ -436,7 +437,7 @@
         """
         best = min((p.bad for p in peers if p is not s), default=1.0)
         sick = WELL if s is not None and s.named >= VOICES else SICK
-        return s is not None and s.bad >= sick and best <= max(WELL, CLEARLY * s.bad)
+        return s is not None and s.bad >= sick and (s.lost or best <= max(WELL, CLEARLY * s.bad))
 
     def _late_fill(self, job: _Job) -> bool:
         """Whether a fill would come too late, for the location's link or for its source.
@@ -779,8 +780,7 @@
         if job.open or job.streams:
             return
         job.failed += 1
-        unsafe = job.c.effect is i.Effect.UNSAFE and job.ran is not None
-        unsafe = unsafe or len(job.errors) >= MOST_ERRORS
+        unsafe = job.c.effect is i.Effect.UNSAFE and job.ran is not None or len(job.errors) >= MOST_ERRORS
         if unsafe or self.purse < 1 or left <= self._least(job):
             return self._give_up(job, out)
         if job.held_only and o.code is i.Code.MISS:
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -12,6 +12,7 @@
     Code,
     Fail,
     Get,
+    Gone,
     ListKind,
     Members,
     Note,
@@ -429,3 +430,43 @@
         d.router.flights[d.next_id, 0].source = "parent-0"  # an attempt sent before the rest
         d.end(store=got.store, code=Code.FULL, final=False)
     assert (d.router.asked, d.router.timely) == (asked, timely)
+
+
+def fill(d: Driver, n: int, note: Note) -> str:
+    """One request whose fill ends so by a parent, and well by the origin. The source that was named first, or
+    "held" where only a held copy was asked for."""
+    got = d.get(d.ask(f"far-{n}"))
+    if got.source == got.store:
+        d.end(store=got.store, code=Code.MISS)
+    elif got.source == "origin":
+        d.end(store=got.store, note=Note.FILLED_FROM_ORIGIN)
+    elif note is Note.FILLED:
+        d.end(store=got.store, note=note)
+    else:
+        d.end(store=got.store, code=Code.FULL, note=note, took_ms=80.0)
+    for further in d.say(Gone(d.next_id)):  # the client leaves, and what was still out is called off
+        assert isinstance(further, Cancel)
+        d.end(further.attempt, code=Code.CANCELLED, final=True)
+    d.now += 50.0
+    return "held" if got.source == got.store else got.source
+
+
+def test_parents_that_can_not_be_reached_all_rest_and_the_origin_fills_until_they_are_back() -> None:
+    """Both hubs are lost, and the list does not say so yet."""
+    d = Driver(notes=Notes.ALL)
+    first = [fill(d, n, Note.SOURCE_UNREACHED) for n in range(10)]
+    assert {"parent-0", "parent-1"} <= set(first)
+    lost = [fill(d, n, Note.SOURCE_UNREACHED) for n in range(10, 210)]
+    assert lost.count("origin") > 0.9 * len(lost), "the parents are only tried now and then"
+    assert {"parent-0", "parent-1"} <= set(lost), "but they are"
+    for n in range(210, 510):
+        fill(d, n, Note.FILLED)
+    back = [fill(d, n, Note.FILLED) for n in range(510, 560)]
+    assert set(back) == {"parent-0", "parent-1"}
+
+
+def test_parents_that_only_refuse_are_not_passed_by_all_together() -> None:
+    """Trouble that both share, as behind a slow origin: all that they hold back would fall on it."""
+    d = Driver(notes=Notes.ALL)
+    named = [fill(d, n, Note.SOURCE_REFUSED) for n in range(200)]
+    assert "origin" not in named
