Refuse a word of the settings that is not known, by the name of its field

WeightKind, Tells and RegistryMode took their default for a word that the page does not list, so that a slip in another customer's settings changed how it was served, silently; Effect and KeyScope ended with "KeyError: 'sometimes'".

--- a/starlinghaven/benchlink.py
+++ b/starlinghaven/benchlink.py
@@ -20,6 +20,7 @@
     "rough": i.Weights.ROUGH,
     "live": i.Weights.LIVE,
 }
+MODES = {"push": False, "ask": True}
 PHASES = {"healthy": i.Phase.UP, "cordoned": i.Phase.DRAINING, "deregistered": i.Phase.GONE}
 LISTS = {
     "Partial": i.ListKind.PARTIAL,
@@ -51,15 +52,24 @@
     return values[place] if values is not None and place < len(values) else default
 
 
+def _word(words: dict[str, Any], raw: dict[str, Any], field: str, usual: str) -> Any:
+    """What a word of the settings stands for. Errors: ValueError, with the field, for an unknown one."""
+    said = raw.get(field, usual)
+    if said not in words:
+        raise ValueError(f"{field}: {said!r} is none of {', '.join(words)}")
+    return words[said]
+
+
 def read_settings(raw: dict[str, Any]) -> i.Settings:
+    """Errors: ValueError for a word or figure that is not possible, KeyError for a missing field."""
     fam, rules, limits = raw.get("FamilyInfo", {}), raw.get("Rules", {}), raw.get("PolicyLimits", {})
     classes = tuple(
         i.RequestClass(
             target_ms=c["TargetMs"],
             give_up_ms=c["GiveUpMs"],
             stretch=c.get("AimStretch", 0.0),
-            effect=EFFECTS[c["Effect"]],
-            scope=SCOPES[c.get("KeyScope", "all")],
+            effect=_word(EFFECTS, c, "Effect", ""),
+            scope=_word(SCOPES, c, "KeyScope", "all"),
             window_ms=c.get("DedupWindowMs", 0.0),
             fresh_ms=_at(fam.get("GoodForMs"), n, 0.0),
             grace_ms=_at(fam.get("UsableAfterMs"), n, 0.0),
@@ -75,12 +85,12 @@
         classes=classes,
         origin_kind=fam.get("RootKind", -1),
         parent_kind=fam.get("SecondTierKind", -1),
-        weights=WEIGHTS.get(raw.get("WeightKind", "silent"), i.Weights.NONE),
-        notes=NOTES.get(fam.get("Tells", "silent"), i.Notes.NONE),
+        weights=_word(WEIGHTS, raw, "WeightKind", "silent"),
+        notes=_word(NOTES, fam, "Tells", "silent"),
         pace_kb_per_s=fam.get("PaceKbPerS", 0.0),
         joins=fam.get("SharesFills", False),
         direct=fam.get("MayPassBy", False),
-        asks_for_list=raw.get("RegistryMode") == "ask",
+        asks_for_list=_word(MODES, raw, "RegistryMode", "push"),
         cancels=limits.get("Cancelling", False),
         second_copies=limits.get("MayDuplicate", False),
         most_attempts=limits.get("AttemptsCap", 1),
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -45,6 +45,23 @@
         config.load({"LB_CONFIG": str(path)})
 
 
+@pytest.mark.parametrize(
+    "where, field",
+    [("Classes", "Effect"), ("Classes", "KeyScope"), ("", "WeightKind"), ("", "RegistryMode"),
+     ("FamilyInfo", "Tells")],
+)  # fmt: skip
+def test_a_word_of_the_settings_that_is_not_known_is_refused_by_the_name_of_its_field(
+    where: str, field: str, tmp_path: Path
+) -> None:
+    told = json.loads(json.dumps(raw()))
+    part = told["settings"][where] if where else told["settings"]
+    (part[-1] if where == "Classes" else part)[field] = "sometimes"
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(told))
+    with pytest.raises(config.ConfigError, match=f"{field}: 'sometimes' is none of"):
+        config.load({"LB_CONFIG": str(path)})
+
+
 PEERS = {"peer_listen": "127.0.0.9:7946", "peers": ["10.3.0.1:7946", "10.3.0.2:7946"]}
 
 
