Take out what the acceptance's mends wrote twice or no longer need

Read over the whole change; behaviour stays as it is. - An attempt out on a connection is one entry (attempt, sent at, end), not two tables under one key; one place says whether the system took it whole. ended() left its end behind in the second table. - Engine._start asks once whether the client is there; may_begin keeps that look for attempts that waited. - The ends in which a store answered are named once (interface.ANSWERED), for Router and engine. - The dial's time-out is held once, in the settings; Config.dial_s is derived from it. - Connection.serve caught an OSError twice; Clients.unsent had no caller left; _takes_new tested for None twice.

--- a/starlinghaven/interface.py
+++ b/starlinghaven/interface.py
@@ -75,6 +75,9 @@
     MISS = auto()
 
 
+ANSWERED = frozenset({Code.OK, Code.MISS, Code.FULL, Code.ERROR})  # ends in which a store said something
+
+
 class Note(Enum):
     """What an answer says about its copy or its fill."""
 
--- a/starlinghaven/lab/checks.py
+++ b/starlinghaven/lab/checks.py
@@ -31,7 +31,8 @@
             case "stall":
                 excused[e["proxy"]].append((e["t"], float("inf")))
             case "resume":
-                excused[e["proxy"]][-1:] = [(excused[e["proxy"]][-1][0], e["t"])]
+                since, _ = excused[e["proxy"]].pop()
+                excused[e["proxy"]].append((since, e["t"]))
     for key, e in asked.items():
         wanted = e["t"] + e["ttl"] / 1000 + 0.5
         if answers[key] > 1:
--- a/starlinghaven/lab/cold.py
+++ b/starlinghaven/lab/cold.py
@@ -12,7 +12,7 @@
 import math
 import random
 from bisect import bisect_left
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from starlinghaven import interface as i
 from starlinghaven.router import Router
@@ -77,10 +77,7 @@
     parents = [i.Member(f"parent-{n}", HUB, PARENT, weight=plan.weight) for n in range(2)]
     stores = [*caches, *parents, i.Member("origin", HUB, ORIGIN, weight=20.0)]
     name = f"{plan.cold}-0"
-    entries = (
-        i.Member(s.store, s.zone, s.kind, s.cell, s.phase, s.weight, started_ms if s.store == name else 0.0)
-        for s in stores
-    )
+    entries = (replace(s, started_ms=started_ms) if s.store == name else s for s in stores)
     return i.Members(i.ListKind.COMPLETE, tuple(entries))
 
 
--- a/starlinghaven/lab/rig.py
+++ b/starlinghaven/lab/rig.py
@@ -321,6 +321,12 @@
 
     # -- looking ----------------------------------------------------------------------------------
 
+    async def _states(self, proxy: Proxy) -> dict[int, str]:
+        """What a proxy holds each member to be, by its console."""
+        lines = await operator(self._console, "members", proxy.host)
+        rows = [line.split() for line in lines if line[:1].isdigit()]
+        return {int(row[0]): row[2] for row in rows}
+
     async def _await(self, state: str, one: tuple[int, ...], other: tuple[int, ...]) -> None:
         """Returns once the living on each side hold all on the other to be in this state.
 
@@ -332,8 +338,7 @@
             if not proxy.up or proxy.stalled:
                 return True
             with trio.move_on_after(AWAITED_S), contextlib.suppress(OSError):
-                rows = [line.split() for line in await operator(self._console, "members", proxy.host)]
-                states = {int(r[0]): r[2] for r in rows if r[0].isdigit()}
+                states = await self._states(proxy)
                 return all(states.get(m) == state for m in others if m != number)
             return False
 
@@ -354,18 +359,18 @@
         async def ask(proxy: Proxy) -> None:
             with trio.move_on_after(10):
                 try:
-                    lines = await operator(self._console, "members", proxy.host)
+                    states = await self._states(proxy)
                     stance = await operator(self._console, "stance", proxy.host)
                     if self.scenario.spread:
                         stance += await operator(self._console, "spread", proxy.host)
                 except OSError:
                     return
-                rows = [line.split() for line in lines if line[:1].isdigit()]
                 told = dict(line.rsplit(" ", 1) for line in stance if " " in line)
                 self.history.add(
                     "members", look=look, proxy=proxy.number, truth=truth,
-                    alive=[int(r[0]) for r in rows if r[2] == "alive"],
-                    states={r[0]: r[2] for r in rows if r[2] != "alive"}, stance=stance[0], told=told,
+                    alive=[m for m, state in states.items() if state == "alive"],
+                    states={str(m): state for m, state in states.items() if state != "alive"},
+                    stance=stance[0], told=told,
                 )  # fmt: skip
 
         async with trio.open_nursery() as nursery:
--- a/starlinghaven/program/caches.py
+++ b/starlinghaven/program/caches.py
@@ -4,6 +4,7 @@
 
 import logging
 from collections.abc import Sequence
+from typing import NamedTuple
 
 import trio
 
@@ -33,14 +34,21 @@
 """Where each attempt is: on a connection, or waiting for one."""
 
 
+class _Out(NamedTuple):
+    """An attempt that is out on a connection."""
+
+    attempt: Attempt
+    sent_at: float
+    end: int  # where in all that was written there it ends
+
+
 class CacheLink(Link):
     """One connection to a store and the attempts that are out on it, by id."""
 
     def __init__(self, connection: Connection, engine: Engine, address: str, where: Where) -> None:
         super().__init__(connection)
         self.address = address
-        self.out: dict[str, tuple[Attempt, float]] = {}
-        self._ends: dict[str, int] = {}  # of those out: where in what was written they end
+        self.out: dict[str, _Out] = {}
         self._engine, self._where = engine, where
         self._reader = caches.reader()
 
@@ -57,10 +65,11 @@
         return self._reader.wanted
 
     async def _said(self, said: caches.Said) -> None:
-        attempt, _ = self.out.pop(said.id, (None, 0.0))
-        if attempt is None:
+        held = self.out.pop(said.id, None)
+        if held is None:
             return  # dropped or answered before: an id is written once on a connection
-        del self._where[attempt], self._ends[said.id]
+        attempt = held.attempt
+        del self._where[attempt]
         self.done()
         code = CODES[said.word]
         if said.word == "still_good" and not (attempt.ask.have and said.rev == attempt.ask.have):
@@ -85,7 +94,7 @@
         held = self.out.pop(attempt.ask.id, None)
         if held is None:
             return  # its end is on the way through the queue
-        if self.connection.sent < self._ends.pop(attempt.ask.id) and not self.out:
+        if not self._whole(held) and not self.out:
             self.connection.abort()  # the store reads nothing: it must not get it whole after this
         self.connection.write(caches.drop([attempt.ask.id]))
         self.done()
@@ -93,26 +102,28 @@
     def carry(self, attempt: Attempt, text: bytes) -> None:
         """Writes an attempt. It ends with an answer, with `give_up`, or with the connection."""
         self._where[attempt] = attempt.link = self
-        self.out[attempt.ask.id] = attempt, trio.current_time()
-        self._ends[attempt.ask.id] = self.connection.queued + len(text)
+        self.out[attempt.ask.id] = _Out(attempt, trio.current_time(), self.connection.queued + len(text))
         self.begin()
         attempt.written = True
         self.connection.write(text)
 
+    def _whole(self, held: _Out) -> bool:
+        """Whether the system has taken it to its last byte: else it surely never ran."""
+        return self.connection.sent >= held.end
+
     @property
     def silent(self) -> bool:
         """Whether it has said nothing for long while something was out."""
-        since = min((sent for _, sent in self.out.values()), default=trio.current_time())
+        since = min((held.sent_at for held in self.out.values()), default=trio.current_time())
         return trio.current_time() - max(since, self.connection.heard_at) > SILENT_S
 
     async def ended(self) -> None:
         lost, self.out = self.out, {}
-        for attempt, _ in lost.values():
-            self._where.pop(attempt, None)
+        for held in lost.values():
+            self._where.pop(held.attempt, None)
             self.done()
-            # What the system has not taken to its last byte surely never ran.
-            whole = self.connection.sent >= self._ends[attempt.ask.id]
-            await self._engine.post(Ended(attempt, i.Code.RESET if whole else i.Code.NO_CONNECTION))
+            code = i.Code.RESET if self._whole(held) else i.Code.NO_CONNECTION
+            await self._engine.post(Ended(held.attempt, code))
 
 
 class Caches:
--- a/starlinghaven/program/clients.py
+++ b/starlinghaven/program/clients.py
@@ -81,10 +81,6 @@
     def all(self) -> list[ClientLink]:
         return list(self._links)
 
-    @property
-    def unsent(self) -> int:
-        return sum(p.connection.unsent for p in self._links)
-
     def close(self, link: ClientLink) -> bool:
         """The one place where a client's connection is closed in order; whether it is.
 
@@ -131,14 +127,15 @@
         are found once for all that come within ORDER_S. Each is looked at again before it is closed.
         """
         now = time.monotonic()
+        before = now - RESTED_S
         if now - self._ordered_at > ORDER_S or not self._rested:
             idle, self._ordered_at = sorted(self._idle(), key=lambda p: p.ends_at), now
-            self._rested = deque(p for p in idle if p.rests_since < now - RESTED_S)
+            self._rested = deque(p for p in idle if p.rests_since < before)
             if not self._rested:
                 return any(self.close(p) for p in idle)
         while self._rested:
             link = self._rested.popleft()
-            if self._is_idle(link) and link.rests_since < now - RESTED_S and self.close(link):
+            if self._is_idle(link) and link.rests_since < before and self.close(link):
                 return True
         return False
 
--- a/starlinghaven/program/config.py
+++ b/starlinghaven/program/config.py
@@ -32,7 +32,6 @@
     known: tuple[tuple[int, changelog.News], ...]
     settings: i.Settings
     classes: tuple[str, ...]
-    dial_s: float
     streams: int
     idle_s: float
     flow: float = 0.0  # bytes a second of one transfer of an own copy, and of all together
@@ -44,6 +43,11 @@
     own_number: int = 0  # which of them is this one
     folder: str = ""  # what may be written, shared with the process that takes this one's place
 
+    @property
+    def dial_s(self) -> float:
+        """Seconds in which a connection to a store must be up."""
+        return self.settings.dial_ms / 1000
+
 
 def load(env: Mapping[str, str]) -> Config:
     """Reads the file that LB_CONFIG names; LB_NAME and LB_LISTEN go before what it says."""
@@ -92,7 +96,6 @@
         known=tuple(changelog.read_known(known, settings["Zones"], settings["Kinds"])),
         settings=told,
         classes=tuple(c["Name"] for c in settings["Classes"]),
-        dial_s=told.dial_ms / 1000,
         streams=policy.get("StreamsPerConn", 100),
         idle_s=policy.get("IdleCloseMs", 15_000.0) / 1000,
         flow=float(raw.get("flow_bytes_per_s") or 0.0),
--- a/starlinghaven/router.py
+++ b/starlinghaven/router.py
@@ -747,7 +747,7 @@
         job = self.jobs.get(o.request)
         if store := self.stores.get(flight.store):
             store.out = max(0, store.out - 1)
-            store.up = o.code in (i.Code.OK, i.Code.MISS, i.Code.FULL, i.Code.ERROR)
+            store.up = o.code in i.ANSWERED
             self._learn(store, o.report)
         if flight.source != flight.store and (source := self.stores.get(flight.source)):
             source.lent = max(0, source.lent - 1)
--- a/starlinghaven/routing/engine.py
+++ b/starlinghaven/routing/engine.py
@@ -46,7 +46,6 @@
 UNSERVED_STEP, UNSERVED_MS = 0.02, 5_000.0  # weight of one answer, and ms over which it is forgotten
 NOTES = {note.value: note for note in i.Note}
 TELLS_NOTHING = frozenset({i.Code.MISS, i.Code.MOOT, i.Code.CANCELLED})  # of the cache that was asked
-HEARD = frozenset({i.Code.OK, i.Code.MISS, i.Code.FULL, i.Code.ERROR})  # ends in which a store answered
 STALL_MS = 50.0  # ms that an event or a timer waited, from which fronts and stores are read before it counts
 TURNS = 3  # turns of the loop in which they are: one for the wait, one for the reading, one to spare
 
@@ -363,7 +362,7 @@
         if self.observer:
             told = e.code not in TELLS_NOTHING
             self.observer.ended(a.store, e.code is i.Code.OK if told else None, self.clock.now())
-        if e.code in HEARD:
+        if e.code in i.ANSWERED:
             self.heard.add(a.store)
         request = self._open.get(a.request)
         if request is not None:
@@ -406,9 +405,14 @@
         the source of a fill is listed no more, drains, or has another address.
         """
         request = self._open.get(a.request)
-        if request is None or request.ticket.left:
-            why = "left"
-        elif self.clock.now() >= a.begin_by:
+        if request is not None and not request.ticket.left:
+            return self._still_fits(a)
+        self.counters.add("not_begun_left")
+        return False
+
+    def _still_fits(self, a: Attempt) -> bool:
+        """`may_begin` but for the client, for whom the system is asked: once an attempt will do."""
+        if self.clock.now() >= a.begin_by:
             why = "window"
         elif not self._takes_new(a.store, a.address) or a.source and not self._takes_new(a.source):
             why = "list"
@@ -419,8 +423,9 @@
 
     def _takes_new(self, store: str, address: str = "") -> bool:
         s = self._stores.get(store)
-        up = s is not None and s.phase is i.Phase.UP and store not in self._excluded
-        return up and (not address or s is not None and s.address == address)
+        if s is None or s.phase is not i.Phase.UP or store in self._excluded:
+            return False
+        return not address or s.address == address
 
     def _start(self, order: i.Send | i.Get) -> None:
         assert self.caches is not None
@@ -451,7 +456,7 @@
         request.attempts.append(attempt)
         self._attempts[order.request, attempt.number] = attempt
         self.counters.add("sent")
-        if attempt.number >= self._settings.most_attempts or not self.may_begin(attempt):
+        if attempt.number >= self._settings.most_attempts or not self._still_fits(attempt):
             self._settle(attempt, Ended(attempt, i.Code.MOOT))
             return
         self._at(now + attempt.timeout_ms, attempt)
--- a/starlinghaven/transport/connection.py
+++ b/starlinghaven/transport/connection.py
@@ -195,7 +195,7 @@
         thousands. So the tasks end by themselves, and nothing that is left refers back to the connection.
         """
         try:
-            with self._scope, contextlib.suppress(OSError):
+            with self._scope:
                 async with trio.open_nursery() as nursery:
                     nursery.start_soon(self._write_out)
                     detached = await self._read_in(feed)
@@ -206,7 +206,7 @@
                         os.dup(self._sock.fileno()), self._in.take(size_in), self._out.take(size_out)
                     )
         except* OSError:
-            pass  # the peer broke off: the same as an end
+            pass  # no descriptor for what remains, or of what it feeds: the same as an end
         finally:
             self.closed = True
             self._sock.close()
