--- a/starlinghaven/fleet/stance.py
+++ b/starlinghaven/fleet/stance.py
@@ -80,7 +80,5 @@
     def permits(self, members: Sequence[Member], now: float) -> Permits:
         """What follows from the stance that `look` gave last."""
         sure = self.stance in (Stance.WHOLE, Stance.PARTIAL)
-        given = sum(
-            m.status is Status.LEFT and now - m.since >= self._limits.leave_slack_ms for m in members
-        )
+        given = sum(m.status is Status.LEFT and now - m.since >= self._limits.leave_slack_ms for m in members)
         return Permits(fleet_tasks=sure, news=sure, sharers=len(members) - (given if sure else 0))
--- a/starlinghaven/lab/spreading.py
+++ b/starlinghaven/lab/spreading.py
@@ -385,9 +385,7 @@
     def _answer(self, number: int, run: _Run, code: i.Code, note: i.Note = i.Note.NONE) -> None:
         cache = self.caches[number]
         report = cache.lies() if cache.lies else dict(cache.report)
-        self.at(
-            self.now + WAY_MS, lambda: self._end(run.proxy, run.request, run.attempt, code, note, report)
-        )
+        self.at(self.now + WAY_MS, lambda: self._end(run.proxy, run.request, run.attempt, code, note, report))
 
     # -- news between proxies ---------------------------------------------------------------------
 
--- a/starlinghaven/plugin/grpc_client.py
+++ b/starlinghaven/plugin/grpc_client.py
@@ -216,9 +216,7 @@
     Its callbacks run in the engine's thread and must not block.
     """
 
-    def __init__(
-        self, engine: EngineThread, make: Callable[[bytes], Any], timeout: float | None
-    ) -> None:
+    def __init__(self, engine: EngineThread, make: Callable[[bytes], Any], timeout: float | None) -> None:
         self._engine, self._make, self._timeout = engine, make, timeout
         self._ends = None if timeout is None else time.monotonic() + timeout
         self._lock = threading.Lock()
--- a/starlinghaven/program/core.py
+++ b/starlinghaven/program/core.py
@@ -47,9 +47,7 @@
             most=max((cfg.sockets - RESERVE - front_sockets) // processes, cfg.sockets // STORES_LEAST),
             whole_s=max(c.give_up_ms for c in cfg.settings.classes) / 1000,
         )
-        self.log = changelog.ChangeLog(
-            cfg.log_address, cfg.last, self.engine, self.memory, self.counters
-        )
+        self.log = changelog.ChangeLog(cfg.log_address, cfg.last, self.engine, self.memory, self.counters)
 
     async def start(self, nursery: trio.Nursery) -> None:
         """Starts the tasks. The fleet known at the start is in the queue when this returns."""
--- a/starlinghaven/program/fleet.py
+++ b/starlinghaven/program/fleet.py
@@ -221,7 +221,6 @@
         for name, n in sorted(core.counts.items()):
             yield f"{name} {n}"
 
-
     def spread_lines(self) -> Iterator[str]:
         """Who adds up, what this proxy acts on, and the counts. One line a cache: id, share."""
         if self.exchange is None:
--- a/starlinghaven/program/handover.py
+++ b/starlinghaven/program/handover.py
@@ -108,9 +108,7 @@
             return []
         self._stamp = stamp
         before, self._seen = self._seen, self._read()
-        return [
-            h for s, h in self._seen.items() if s not in before or before[s].unix_ms < h.unix_ms
-        ]
+        return [h for s, h in self._seen.items() if s not in before or before[s].unix_ms < h.unix_ms]
 
     async def run(self, engine: Engine) -> None:
         while True:
--- a/starlinghaven/protocol/caches.py
+++ b/starlinghaven/protocol/caches.py
@@ -12,12 +12,16 @@
 MOST_BODY = 250_000  # bytes of an answer at most: an object holds 240,000
 
 WORDS = frozenset({b"served", b"still_good", b"not_here", b"overload", b"crashed", b"nobody"})
-NOTES = (
-    "mem", "parent", "origin", "shared", "old", "denied", "unreached", "absent", "crowded", "behind"
-)
+NOTES = ("mem", "parent", "origin", "shared", "old", "denied", "unreached", "absent", "crowded", "behind")
 LOAD_NAMES = {
-    "inflight": "inflight", "rif": "inflight", "util": "util", "busy": "util",
-    "queue": "queue", "q": "queue", "x0": "hits", "x1": "link",
+    "inflight": "inflight",
+    "rif": "inflight",
+    "util": "util",
+    "busy": "util",
+    "queue": "queue",
+    "q": "queue",
+    "x0": "hits",
+    "x1": "link",
 }
 
 
--- a/starlinghaven/protocol/platform.py
+++ b/starlinghaven/protocol/platform.py
@@ -17,7 +17,12 @@
 _DECIMAL = re.compile(r"0|[1-9][0-9]{0,8}")
 
 RESULT, REJECT, ABORTED, READY, UNREADY, DRAIN = (
-    b"RESULT", b"REJECT", b"ABORTED", b"READY", b"UNREADY", b"DRAIN"
+    b"RESULT",
+    b"REJECT",
+    b"ABORTED",
+    b"READY",
+    b"UNREADY",
+    b"DRAIN",
 )
 
 
--- a/starlinghaven/router.py
+++ b/starlinghaven/router.py
@@ -819,8 +819,10 @@
             return self._serve(job, out)
         self.jobs.pop(job.r.id, None)
         ran = job.ran is not None or job.open > 0
-        if not ran or job.c.effect is i.Effect.SAFE or (
-            job.c.effect is i.Effect.KEYED and job.c.scope is i.Scope.ALL
+        if (
+            not ran
+            or job.c.effect is i.Effect.SAFE
+            or (job.c.effect is i.Effect.KEYED and job.c.scope is i.Scope.ALL)
         ):
             out.append(i.Refuse(job.r.id, self.s.pushback_ms))
         else:
--- a/starlinghaven/spread/codec.py
+++ b/starlinghaven/spread/codec.py
@@ -155,8 +155,13 @@
             if not window or not covered:
                 raise Refused("unreadable")
             seen = tuple(
-                Seen(c << 8 | d, _unpack(n, SENT_UNIT), _unpack(held, HELD_UNIT), _unpack(served, SENT_UNIT),
-                     _unpack(failed, SENT_UNIT))
+                Seen(
+                    c << 8 | d,
+                    _unpack(n, SENT_UNIT),
+                    _unpack(held, HELD_UNIT),
+                    _unpack(served, SENT_UNIT),
+                    _unpack(failed, SENT_UNIT),
+                )
                 for c, d, n, held, served, failed in caches
             )
             body = Report(window, total, covered / 255, seen, tuple(key for (key,) in keys))
--- a/starlinghaven/spread/exchange.py
+++ b/starlinghaven/spread/exchange.py
@@ -351,4 +351,3 @@
 
     def _refuse(self, reason: str) -> None:
         self.counts["refused_" + reason.replace(" ", "_")] += 1
-
--- a/starlinghaven/standins/tier.py
+++ b/starlinghaven/standins/tier.py
@@ -14,9 +14,7 @@
 class Tier(Archive):
     """Stores with copies of their own. `silent` and `slow` are set by faults; purges drop older copies."""
 
-    def __init__(
-        self, stores: Sequence[tuple[str, str, str]], saw: Callable[[str, str, str], None]
-    ) -> None:
+    def __init__(self, stores: Sequence[tuple[str, str, str]], saw: Callable[[str, str, str], None]) -> None:
         super().__init__(stores)
         self.keeps_orders = False  # the watcher has them
         self.kinds = {store: kind for store, _, kind in stores}
--- a/starlinghaven/transport/connection.py
+++ b/starlinghaven/transport/connection.py
@@ -294,5 +294,3 @@
                 self._scope.cancel()
                 return
             self._room.set()
-
-
--- a/starlinghaven/transport/listener.py
+++ b/starlinghaven/transport/listener.py
@@ -164,8 +164,13 @@
                 try:
                     sock, _ = await self._sock.accept()
                 except OSError as error:
-                    if error.errno not in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM,
-                                           errno.ECONNABORTED):
+                    if error.errno not in (
+                        errno.EMFILE,
+                        errno.ENFILE,
+                        errno.ENOBUFS,
+                        errno.ENOMEM,
+                        errno.ECONNABORTED,
+                    ):
                         raise
                     log.warning("accept failed: %s", error)
                     if error.errno in (errno.EMFILE, errno.ENFILE):
--- a/starlinghaven/transport/pool.py
+++ b/starlinghaven/transport/pool.py
@@ -217,5 +217,3 @@
                 del self._links[place]
             link.retired = True
         await link.ended()
-
-
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -29,9 +29,7 @@
 VIDEO, PAGE, PAY = 0, 1, 2
 CLASSES = (
     RequestClass(target_ms=400, give_up_ms=6000, stretch=2, parts=True),
-    RequestClass(
-        target_ms=300, give_up_ms=2500, stretch=2, fresh_ms=12_000, grace_ms=10_000
-    ),
+    RequestClass(target_ms=300, give_up_ms=2500, stretch=2, fresh_ms=12_000, grace_ms=10_000),
     RequestClass(target_ms=700, give_up_ms=3000, effect=Effect.UNSAFE, uncached=True),
 )
 HUB, OFFICE = 0, 1
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -77,8 +77,12 @@
 
 @asynccontextmanager
 async def program(
-    folder: Path, changelog: str = "", passed: socket.socket | None = None, beside: Program | None = None,
-    more: dict[str, Any] | None = None, **env: str,
+    folder: Path,
+    changelog: str = "",
+    passed: socket.socket | None = None,
+    beside: Program | None = None,
+    more: dict[str, Any] | None = None,
+    **env: str,
 ) -> AsyncIterator[Program]:
     """The running program before a stand-in archive; killed in the end if it has not ended.
 
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -605,5 +605,3 @@
                 await trio.sleep(0.05)
             assert asked == [1, 2, 3, 5, 6] and "changelog_odd=3" in p.log()
         nursery.cancel_scope.cancel()
-
-
--- a/tests/test_fleet_judgement.py
+++ b/tests/test_fleet_judgement.py
@@ -93,9 +93,7 @@
     standing = {k: Standing(LIMITS, 0.0) for k in range(20)}
 
     def look() -> dict[int, Stance]:
-        return {
-            k: standing[k].look(h.core.members, h.core.heard_at, net.now) for k, h in net.hosts.items()
-        }
+        return {k: standing[k].look(h.core.members, h.core.heard_at, net.now) for k, h in net.hosts.items()}
 
     net.run(500.0)
     assert set(look().values()) <= {Stance.STARTED, Stance.PARTIAL}
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -92,9 +92,7 @@
     with socket.create_server(("127.0.0.1", 0)) as passed:
         doors = [f"127.0.0.1:{free_port()}" for _ in range(2)]
         async with program(folder, passed=passed, LB_CONSOLE=doors[0], TMPDIR=shared) as old:
-            yield old, partial(
-                program, folder, passed=passed, beside=old, LB_CONSOLE=doors[1], TMPDIR=shared
-            )
+            yield old, partial(program, folder, passed=passed, beside=old, LB_CONSOLE=doors[1], TMPDIR=shared)
 
 
 @in_trio
--- a/tests/test_signed_front.py
+++ b/tests/test_signed_front.py
@@ -288,9 +288,10 @@
         f.p.archive.plan[KEY] = (1.0, "served")
         async with trio.open_nursery() as nursery:
             nursery.start_soon(f.http, f.sign(PAGE))
-            while f.p.archive.orders[-1]["id"] not in f.p.archive.out or not f.p.archive.out[
-                f.p.archive.orders[-1]["id"]
-            ]:
+            while (
+                f.p.archive.orders[-1]["id"] not in f.p.archive.out
+                or not f.p.archive.out[f.p.archive.orders[-1]["id"]]
+            ):
                 await trio.sleep(0.01)
             f.p.process.send_signal(signal.SIGTERM)
             await f.p.logged("draining")
--- a/tests/test_spread_codec.py
+++ b/tests/test_spread_codec.py
@@ -33,7 +33,9 @@
     st.lists(st.integers(0, 0xFFFF_FFFF), max_size=4).map(tuple),
 )  # fmt: skip
 TABLES = st.builds(
-    Table, st.integers(0, 0xFFFF), st.integers(0, 0xFFFF),
+    Table,
+    st.integers(0, 0xFFFF),
+    st.integers(0, 0xFFFF),
     st.lists(st.builds(Row, IDS, PARTS, PARTS), max_size=TABLE_ROWS // 2).map(tuple),
     st.lists(st.tuples(st.integers(0, 0xFFFF_FFFF), st.integers(0, 255)), max_size=20).map(tuple),
 )
--- a/tests/test_spread_simulated.py
+++ b/tests/test_spread_simulated.py
@@ -244,9 +244,7 @@
 
 def publishers_of_all() -> Any:
     plain = Exchange.members
-    return patch.object(
-        Exchange, "members", lambda self, alive, settled: plain(self, set(range(N)), settled)
-    )
+    return patch.object(Exchange, "members", lambda self, alive, settled: plain(self, set(range(N)), settled))
 
 
 def never_too_old() -> Any:
