--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -82,13 +82,15 @@
     passed: socket.socket | None = None,
     beside: Program | None = None,
     more: dict[str, Any] | None = None,
+    archive: Archive | None = None,
     **env: str,
 ) -> AsyncIterator[Program]:
     """The running program before a stand-in archive; killed in the end if it has not ended.
 
-    `passed` is the clients' listening socket, `beside` a process that is there already.
+    `passed` is the clients' listening socket, `beside` a process that is there already, `archive` other
+    stores than the usual ones.
     """
-    archive = beside.archive if beside else Archive()
+    archive = beside.archive if beside else archive or Archive()
     port = passed.getsockname()[1] if passed else free_port()
     if passed:
         env["LB_PASSED_SOCKET"] = str(passed.fileno())
