Serve own copies on a lease that the change log renews, and never forget a purge

What callers saw: copies older than a purge, from the memory of the process itself, while the change log was out, after the process had stood still, when an answer crossed its purge, or after a step of its wall clock.

Cause: the absence of news was taken for news of absence. A copy was trusted for as long as it was fresh, however long nothing had been heard; purges waited in the engine's queue behind the requests that they bind; a table that was full forgot purges; ages of purges and copies were wall time now less wall time then.

What stands there now: routing/lease.py owns what is known, as of when, on the monotonic clock. A copy is served until 7 s after the last moment up to which it is known to be unpurged: what the log proved (an empty frame; when it can have been sent at the earliest, not when it came: protocol/changelog.py, Progress), the copy's own making, or its request less ClearedWithinMs. After a pause of over 0.4 s nothing is served on the lease until the log has proved that what lay unread was read. News has a queue of its own, applied before anything else. A purge that is forgotten raises a floor for all (decisions/purges.py; the Router's table has the same). Where stores may keep older copies for longer than 7 s, the Router bounds the age of what it asks for without news.

Evidence: tests/test_discovery_outage.py, real processes; five of its six tests failed before and pass now (log silent, log refused, SIGSTOP, 6,000 purges, process's wall clock stepped). Related tests: 143 passed (copies, layers, rules, failures, models, mechanism, crossings, codecs).

--- a/starlinghaven/interface.py
+++ b/starlinghaven/interface.py
@@ -262,6 +262,18 @@
     key: str | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class NewsCurrent:
+    """Every purge that could be heard so long ago has been told."""
+
+    age_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class NewsMissed:
+    """Purges up to now may have been missed for good, of any object."""
+
+
 @dataclass(frozen=True, slots=True)
 class Timer:
     """A timer set earlier is due."""
@@ -286,7 +298,20 @@
     hot: Mapping[int, int] = field(default_factory=dict)  # CRC-32 of an object -> number of its homes
 
 
-Event = Members | Request | Streaming | Outcome | Probed | Gone | Purge | Timer | Heard | Spread
+Event = (
+    Members
+    | Request
+    | Streaming
+    | Outcome
+    | Probed
+    | Gone
+    | Purge
+    | NewsCurrent
+    | NewsMissed
+    | Timer
+    | Heard
+    | Spread
+)
 
 
 @dataclass(frozen=True, slots=True)
--- a/starlinghaven/program/changelog.py
+++ b/starlinghaven/program/changelog.py
@@ -1,4 +1,4 @@
-"""Follows the change log: connects, resumes after the last event, and tells the engine."""
+"""Follows the change log: connects, resumes after the last event, and posts what it hears to the engine."""
 
 from __future__ import annotations
 
@@ -9,7 +9,15 @@
 from starlinghaven import interface as i
 from starlinghaven.protocol import ProtocolError, changelog
 from starlinghaven.routing.engine import Engine
-from starlinghaven.routing.types import Counters, Event, FleetNews, PurgeNews, Store
+from starlinghaven.routing.types import (
+    Counters,
+    Event,
+    FleetNews,
+    NewsCurrent,
+    NewsMissed,
+    PurgeNews,
+    Store,
+)
 from starlinghaven.transport.connection import Connection
 from starlinghaven.transport.listener import split_address
 from starlinghaven.transport.ring import Memory, NoMemory, Ring
@@ -27,7 +35,7 @@
 
 
 def event(news: changelog.News, first: bool = False) -> Event:
-    """What the engine is told of an event of the log."""
+    """The engine's event for one of the log."""
     if isinstance(news, changelog.Purged):
         return PurgeNews(news.group, news.key, news.unix_ms)
     kind = i.ListKind.COMPLETE if news.whole else i.ListKind.PARTIAL
@@ -45,7 +53,8 @@
         self._address, self.last = address, last
         self._engine, self._memory, self._counters = engine, memory, counters
         self._moved = trio.CancelScope()
-        self._odd: int | None = None  # the last number that did not follow, for which the log was asked again
+        self._asked_again_after: int | None = None  # the last event when a number that skips was refused
+        self._progress = changelog.Progress(engine.clock.now())
         self.heard = False  # a frame came since the start: the list given at the start is confirmed
 
     @property
@@ -56,13 +65,14 @@
     def move(self, address: str) -> None:
         """Follows the log at another address from now on, after the last event that is known.
 
-        Guards against a log that is moved under load: the old address may stay open and say nothing.
+        The old address may stay open and say nothing.
         """
         if address != self._address:
             self._address = address
             self._moved.cancel()
 
     async def run(self) -> None:
+        """Follows the log for ever, over one connection after the other."""
         pause = PAUSE_S
         while True:
             with trio.CancelScope() as self._moved:
@@ -91,14 +101,16 @@
         except BaseException:
             sock.close()
             raise
+        self._progress = changelog.Progress(self._engine.clock.now())
         connection.write(changelog.resume(self.last))
+        log.info("change log connected address=%s after event %d", self._address, self.last)
         reader, started = changelog.FrameReader(), connection.heard_at
 
         async def feed(ring: Ring) -> int:
             try:
                 while (frame := reader.next(ring)) is not None:
                     self.heard = True
-                    await self._told(*frame)
+                    await self._received(*frame)
             except ProtocolError as error:  # caught here: one bad frame must not end the program
                 log.warning("change log: %s", error)
                 connection.abort()
@@ -112,24 +124,46 @@
 
     @staticmethod
     async def _watch(connection: Connection) -> None:
-        """Guards against a log that has gone silent: its connection may never break."""
+        """Ends a connection that has gone silent: it may never break by itself."""
         while trio.current_time() - connection.heard_at <= SILENCE_S:
             await trio.sleep(SILENCE_S / 8)
+        log.info("change log silent for %.1f s", trio.current_time() - connection.heard_at)
         connection.abort()
 
-    async def _told(self, number: int, news: changelog.News | None) -> None:
-        """One frame. The last event may be told twice. Any other number that does not follow means that
-        something was missed, or that the log goes back; it is asked again after the last event known, once
-        for each such number: what then comes again is the log's own, and its gap is passed over."""
-        whole = isinstance(news, changelog.Fleet) and news.whole
-        follows = number in ((0, self.last) if news is None else (self.last, self.last + 1))
-        if not follows and not (whole and number > self.last) and number != self._odd:
-            self._odd = number
+    async def _received(self, number: int, news: changelog.News | None) -> None:
+        """One frame: applied if it follows, asked for again if a number is missing before it."""
+        whole = isinstance(news, changelog.Fleet) and news.whole and number > self.last
+        if not whole and not self._follows(number, news) and self._asked_again_after != self.last:
+            self._asked_again_after = self.last
             self._counters.add("changelog_odd")
             raise ProtocolError(f"event {number} comes after {self.last}")
-        if news is None or number <= self.last:
-            return
-        if not follows and not whole:
+        if news is None:
+            await self._heartbeat(number)
+        elif number > self.last:
+            await self._apply(number, news)
+
+    def _follows(self, number: int, news: changelog.News | None) -> bool:
+        """Whether nothing is missing before a frame; the last event may come twice."""
+        return number in ((0, self.last) if news is None else (self.last, self.last + 1))
+
+    async def _apply(self, number: int, news: changelog.News) -> None:
+        if number != self.last + 1:
             log.warning("change log: event %d follows %d also when asked again", number, self.last)
+            await self._engine.post(NewsMissed())
+        self.last = number  # first: what follows queues the event at once, and may be cancelled after that
         await self._engine.post(event(news))
-        self.last = number
+        if isinstance(news, changelog.Purged):
+            made_ms = self._engine.clock.earliest(news.unix_ms)
+            await self._renew(self._progress.stamped(made_ms))
+
+    async def _heartbeat(self, number: int) -> None:
+        """An empty frame: all that the log held when it was sent is known."""
+        as_of_ms = self._progress.heartbeat(self._engine.clock.now())
+        if number not in (0, self.last):
+            return  # it goes back, or holds what it does not send: it proves nothing
+        await self._renew(as_of_ms)
+        if self._progress.late:
+            raise ProtocolError("its frames come late")
+
+    async def _renew(self, as_of_ms: float) -> None:
+        await self._engine.post(NewsCurrent(as_of_ms))
--- a/starlinghaven/program/core.py
+++ b/starlinghaven/program/core.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import replace
 
 import trio
@@ -11,7 +12,7 @@
 from starlinghaven.routing.clock import Clock
 from starlinghaven.routing.copies import Copies
 from starlinghaven.routing.engine import Engine
-from starlinghaven.routing.types import Counters
+from starlinghaven.routing.types import Counters, NewsRequired
 from starlinghaven.transport.ring import Memory
 
 RINGS = 0.35  # part of the memory limit that rings may hold; the rest is the interpreter's and answers'
@@ -33,7 +34,9 @@
         clock, copies = Clock(), None
         if cfg.flow > 0 and cfg.link > 0:  # else the platform allows no copies of its own
             spare = max(cfg.memory_bytes / processes - PROCESS, 0) / 2
-            copies = Copies(int(min(cfg.memory_bytes * COPIES, spare)), cfg.flow, cfg.link, clock)
+            limit = int(min(cfg.memory_bytes * COPIES, spare))
+            cleared_ms = cfg.settings.purge_done_ms or math.inf  # 0: the settings promise nothing
+            copies = Copies(limit, cfg.flow, cfg.link, clock, cleared_ms)
         settings = replace(cfg.settings, tells=tells)
         self.engine = Engine(settings, cfg.seed, clock, self.counters, copies)
         self.caches = Caches(
@@ -55,9 +58,13 @@
         nursery.start_soon(self.engine.run, self.caches)
         for n, (_, news) in enumerate(self.cfg.known):
             await self.engine.post(changelog.event(news, first=n == 0))
+        if self.cfg.log_address:
+            await self.engine.post(NewsRequired())
         nursery.start_soon(self.log.run)
 
-    def reload(self, cfg: config.Config) -> None:
-        """Takes over what may change while the program runs: the change log's address."""
+    async def reload(self, cfg: config.Config) -> None:
+        """Takes over what may change while the program runs: the change log's address and events."""
         self.cfg = cfg
+        if cfg.log_address:
+            await self.engine.post(NewsRequired())
         self.log.move(cfg.log_address)
--- a/starlinghaven/program/daemon.py
+++ b/starlinghaven/program/daemon.py
@@ -176,14 +176,14 @@
                 self.counters.add("signals_passed_over")
                 log.info("signal %d passed over: draining already", number)
             elif number == signal.SIGHUP:
-                self._reload()
+                await self._reload()
             else:
                 terminate.set()
 
-    def _reload(self) -> None:
+    async def _reload(self) -> None:
         """Takes the configuration and the keys anew. What can't be used leaves the old in force."""
         try:
-            self.core.reload(config.load(os.environ))
+            await self.core.reload(config.load(os.environ))
             self.counters.add("config_reloaded")
             log.info("configuration reloaded changelog=%s", self.core.cfg.log_address)
         except Exception as error:  # guards against a file caught half-written: it must not end the program
--- a/starlinghaven/protocol/changelog.py
+++ b/starlinghaven/protocol/changelog.py
@@ -14,6 +14,9 @@
 MOST_FRAME = 256 * 1024
 _LENGTH, _HEAD, _RECORD = struct.Struct(">I"), struct.Struct(">QB"), struct.Struct(">I4sHBBBHIQ")
 _OBJECT, _GROUP = struct.Struct(">8sQ"), struct.Struct(">HQ")
+HEARTBEAT_MS = 1_000.0  # between two empty frames
+LATE_MS = 3_000.0  # that frames may lag behind what the connection proves
+SETTLE_MS = 5_000.0  # of a connection in which it is not judged
 READY, DRAINING, GONE = 0, 1, 2
 STATES = {"active": READY, "leaving": DRAINING, "left": GONE}
 
@@ -74,6 +77,40 @@
         return number, _news(kind, frame[_HEAD.size :])
 
 
+class Progress:
+    """How current the events read from one connection are. All times are milliseconds on one clock.
+
+    A frame may have waited anywhere for long, so the moment of its arrival proves nothing. What does: the log
+    sends nothing before it has read the request to resume, and an empty frame each second from then on.
+    """
+
+    def __init__(self, resumed_ms: float) -> None:
+        """The request to resume was written at `resumed_ms`."""
+        self._resumed_ms = resumed_ms
+        self._sent_ms = resumed_ms  # the last frame was sent at this moment or later
+        self._beat_ms: float | None = None  # the last empty frame was sent at this moment or later
+        self._behind_ms = 0.0
+
+    def heartbeat(self, now_ms: float) -> float:
+        """Takes an empty frame; returns a moment before which the log cannot have sent it."""
+        if self._beat_ms is not None:
+            self._sent_ms = max(self._sent_ms, self._beat_ms + HEARTBEAT_MS)
+        self._beat_ms = self._sent_ms = min(self._sent_ms, now_ms)
+        self._behind_ms = now_ms - self._sent_ms
+        return self._sent_ms
+
+    def stamped(self, stamped_ms: float) -> float:
+        """Takes an event made at this moment; returns a moment before which it cannot have been sent."""
+        self._sent_ms = max(self._sent_ms, stamped_ms)
+        return self._sent_ms
+
+    @property
+    def late(self) -> bool:
+        """Whether frames come so late that asking anew would prove more."""
+        settled = self._sent_ms + self._behind_ms > self._resumed_ms + SETTLE_MS
+        return settled and self._behind_ms > LATE_MS
+
+
 def _news(kind: int, payload: bytes) -> News | None:
     try:
         if kind in (1, 2):
--- a/starlinghaven/router.py
+++ b/starlinghaven/router.py
@@ -18,6 +18,7 @@
 from zlib import crc32
 
 from starlinghaven import interface as i
+from starlinghaven.decisions.purges import COUNTS_AS_KNOWN_MS, PurgeTable
 
 # Popularity.
 COUNTS = 4096  # objects counted at most; a location's live objects fit well within
@@ -172,7 +173,8 @@
         self.halved = self.ranked = self.began = now
         self.gold: dict[str, int] = {}  # object -> turn among its homes
         self.spread = i.Spread()  # what all proxies together counted
-        self.purged: OrderedDict[str, float] = OrderedDict()  # object or group -> when
+        self.purges = PurgeTable(TABLE, settings.purge_done_ms + PURGE_MARGIN_MS)
+        self.news_at = math.inf  # every purge up to then is known; for ever, where nobody says otherwise
         self.link, self.link_told = 0.0, -math.inf  # load of the location's link in
         self.asked, self.timely, self.filled_at = 0.0, 0.0, now  # fills lately, and those in time
         self.purse = PURSE / 2
@@ -200,7 +202,12 @@
             case i.Members():
                 self._listed(event, out)
             case i.Purge():
-                self._purge(event)
+                name = event.group if event.key is None else event.key
+                self.purges.record(name, self.now - event.age_ms, self.now)
+            case i.NewsCurrent():
+                self.news_at = self.now - event.age_ms
+            case i.NewsMissed():
+                self.purges.raise_floor(self.now)
             case i.Streaming():
                 if job := self.jobs.get(event.request):
                     job.streams = True
@@ -580,16 +587,16 @@
         self.origins = [s for s in up if s.m.kind == self.s.origin_kind]
         self.ranked_for.clear()
 
-    def _purge(self, event: i.Purge) -> None:
-        name = event.key if event.key is not None else f"group {event.group}"
-        made = self.now - event.age_ms
-        self.purged[name] = max(made, self.purged.pop(name, -math.inf))
-        gone = self.now - self.s.purge_done_ms - PURGE_MARGIN_MS
-        while self.purged and (len(self.purged) > TABLE or next(iter(self.purged.values())) < gone):
-            self.purged.popitem(last=False)
-
     def _purged_at(self, r: i.Request) -> float | None:
-        made = max(self.purged.get(r.key, -math.inf), self.purged.get(f"group {r.group}", -math.inf))
+        """Until when copies of the object may be void at stores; None where all that is there is newer.
+
+        Without news for long, any object may have been purged: what is older than the moment up to which an
+        unheard purge counts as known is void too, where stores may keep it for longer than that.
+        """
+        made = self.purges.latest_or_floor(r.key, r.group)
+        unheard = self.now - COUNTS_AS_KNOWN_MS
+        if self.news_at < unheard and self.s.purge_done_ms > COUNTS_AS_KNOWN_MS:
+            made = max(made, unheard)
         return made if self.now - made <= self.s.purge_done_ms + PURGE_MARGIN_MS else None
 
     # -- life of a request --------------------------------------------------------------------
--- a/starlinghaven/routing/clock.py
+++ b/starlinghaven/routing/clock.py
@@ -1,4 +1,4 @@
-"""The module's clock, and the one place where Unix times are mapped onto it."""
+"""The engine's monotonic clock, and the one place where Unix times are mapped onto it."""
 
 from __future__ import annotations
 
@@ -12,20 +12,18 @@
     def __init__(
         self, unix: Callable[[], float] = time.time, steady: Callable[[], float] = time.monotonic
     ) -> None:
+        """`unix` and `steady` give seconds."""
         self._unix, self._steady = unix, steady
-        self._offset = 1000.0 * (unix() - steady())
+        self._base_ms = 1000.0 * (unix() - steady())
 
     def now(self) -> float:
-        return 1000.0 * self._steady() + self._offset
+        """Milliseconds on this clock."""
+        return 1000.0 * self._steady() + self._base_ms
 
-    def age(self, unix_ms: float) -> float:
-        """How long ago a Unix time was, by the Unix clock as it stands now; never negative."""
-        return max(1000.0 * self._unix() - unix_ms, 0.0)
+    def earliest(self, unix_ms: float) -> float:
+        """The earliest moment that a Unix time stamped in the past may stand for; never after now."""
+        return min(unix_ms, self.now())
 
-    def from_unix(self, unix_ms: float) -> float:
-        """A Unix time on this clock; 0, for long ago, stays 0.
-
-        The clock began at the Unix time, so both agree but for later steps of the system's clock. The
-        same time must always give the same number: the Router takes another one for another start.
-        """
-        return max(unix_ms, 0.0)
+    def latest(self, unix_ms: float) -> float:
+        """The latest moment that a Unix time stamped in the past may stand for; never after now."""
+        return min(unix_ms, self.now())
--- a/starlinghaven/routing/engine.py
+++ b/starlinghaven/routing/engine.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import contextlib
 import heapq
 import itertools
 import logging
 import math
+from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 
@@ -14,7 +16,8 @@
 from starlinghaven import interface as i
 from starlinghaven.router import Router
 from starlinghaven.routing.clock import Clock
-from starlinghaven.routing.copies import Copies
+from starlinghaven.routing.copies import Copies, Copy
+from starlinghaven.routing.lease import PAUSE_MS, NewsLease
 from starlinghaven.routing.types import (
     Answer,
     Ask,
@@ -26,6 +29,10 @@
     FleetNews,
     Hand,
     Left,
+    LogNews,
+    NewsCurrent,
+    NewsMissed,
+    NewsRequired,
     Observer,
     PeerNews,
     PurgeNews,
@@ -38,6 +45,8 @@
 
 log = logging.getLogger(__name__)
 
+TURN_S = 0.1  # seconds between two turns at most: a longer one shows that the process stood still
+MOST_NEWS = 1024  # events of the change log that may wait
 QUEUE = 256  # events that may wait, with up to 240 KB each; socket code waits when it is full
 BATCH = 256  # events handled before timers are looked at again
 MARGIN_MS = 25.0  # ms before the client's deadline at which its request ends here: the answer must travel
@@ -69,6 +78,13 @@
     what: object = field(compare=False)  # an Attempt's time-out, a request's deadline, a Router's token
 
 
+class _Wake:
+    """Stands in the queue for news that waits beside it."""
+
+
+_WAKE = _Wake()
+
+
 class Engine:
     """Feed it through `post`; it answers tickets and gives attempts to the cache side."""
 
@@ -76,9 +92,14 @@
         self, settings: i.Settings, seed: int, clock: Clock, counters: Counters, copies: Copies | None = None
     ) -> None:
         self._copies = copies
+        self._lease = NewsLease()
+        self._lapsed = False  # copies are not served on the lease, as last logged
+        self._news: deque[LogNews] = deque()
+        self._news_taken = trio.Event()
+        self._starts: dict[str, tuple[float, float]] = {}  # store -> its listed start, and on the clock
         self.clock, self.counters, self._settings = clock, counters, settings
         self._router = Router(settings, seed, clock.now())
-        self._send, self._receive = trio.open_memory_channel[Event](QUEUE)
+        self._send, self._receive = trio.open_memory_channel[Event | _Wake](QUEUE)
         self.caches: CacheSide | None = None
         self.tell: Callable[[str, bool], None] | None = None  # to other proxies: store, silent; never waits
         self.observer: Observer | None = None  # of loads, where proxies tell each other
@@ -102,7 +123,19 @@
     # -- for other tasks --------------------------------------------------------------------------
 
     async def post(self, event: Event) -> None:
-        """The only way in. Waits while the queue is full."""
+        """The only way in. Waits while the queue is full.
+
+        News of the change log has a queue of its own, which is emptied before anything else is handled: a
+        purge or a drain must not wait behind the requests that it binds.
+        """
+        if isinstance(event, LogNews):
+            self._news.append(event)
+            with contextlib.suppress(trio.WouldBlock):
+                self._send.send_nowait(_WAKE)
+            while len(self._news) > MOST_NEWS:
+                self._news_taken = trio.Event()
+                await self._news_taken.wait()
+            return
         if self._waits_since is None:
             self._waits_since = self.clock.now()
         await self._send.send(event)
@@ -189,30 +222,48 @@
     async def run(self, caches: CacheSide) -> None:
         self.caches = caches
         while True:
-            first: Event | None = None
-            with trio.move_on_after(self._sleep_s()):
+            first: Event | _Wake | None = None
+            with trio.move_on_after(min(self._sleep_s(), TURN_S)):
                 first = await self._receive.receive()
             await self._catch_up()
-            self.turned_at = self.clock.now()
+            self._turn()
             if first is not None:
-                self.handle(first)
+                self._handle_queued(first)
             for _ in range(BATCH):
                 try:
-                    self.handle(self._receive.receive_nowait())
+                    self._handle_queued(self._receive.receive_nowait())
                 except trio.WouldBlock:
                     self._waits_since = None
                     break
             self.run_due()
 
+    def _turn(self) -> None:
+        """What comes before all events of a turn: the state of the news, and the news itself."""
+        now = self.turned_at = self.clock.now()
+        if self._lease.turn(now):
+            self.counters.add("pauses")
+        while self._news:
+            self.handle(self._news.popleft())
+        self._news_taken.set()
+        if self._copies and self._lease.lapsed(now) is not self._lapsed:
+            self._lapsed = not self._lapsed
+            age_s = (now - self._lease.current_to_ms) / 1000
+            log.info("own copies %s news_age_s=%.1f", "suspended" if self._lapsed else "resumed", age_s)
+
+    def _handle_queued(self, event: Event | _Wake) -> None:
+        if not isinstance(event, _Wake):
+            self.handle(event)
+
     async def _catch_up(self) -> None:
         """After a stall, what came in meanwhile is read before anything is decided.
 
-        Guards clients that left and answers that came while the process stood still: their bytes lie
-        unread, and an attempt begun, or timed out, ahead of them would be wrong.
+        News, clients that left and answers that came while the process stood still lie unread: an attempt
+        begun, or timed out, ahead of them would be wrong.
         """
         now = self.clock.now()
         since = now if self._waits_since is None else self._waits_since
-        if now - min([since, *(due.when for due in self._due[:1])]) > STALL_MS:
+        waited = now - min([since, *(due.when for due in self._due[:1])])
+        if waited > STALL_MS or now - self.turned_at > PAUSE_MS:
             self.counters.add("stalls")
             for _ in range(TURNS):
                 await trio.lowlevel.checkpoint()
@@ -242,10 +293,31 @@
                 shares = {s: n for s, n in event.shares.items() if s in self._stores}
                 self._decide(i.Spread(shares, event.hot))
             case PurgeNews():
-                self.counters.add("purges")
-                if self._copies:
-                    self._copies.purge(event.group, event.key, event.unix_ms)
-                self._decide(i.Purge(event.group, self.clock.age(event.unix_ms), event.key))
+                self._purge(event)
+            case NewsRequired():
+                self._lease.require()
+                self._decide(i.NewsCurrent(0.0))
+            case NewsCurrent():
+                self._lease.renew(event.as_of_ms)
+                self._decide(i.NewsCurrent(self.clock.now() - event.as_of_ms))
+            case NewsMissed():
+                self._missed()
+
+    def _purge(self, news: PurgeNews) -> None:
+        self.counters.add("purges")
+        made = self.clock.latest(news.unix_ms)
+        if self._copies:
+            self._copies.purge(news.group, news.key, made)
+        self._decide(i.Purge(news.group, self.clock.now() - made, news.key))
+
+    def _missed(self) -> None:
+        """Any object may have been purged up to now, and nobody will say which."""
+        self.counters.add("changelog_gaps")
+        now = self.clock.now()
+        self._lease.miss(now)
+        if self._copies:
+            self._copies.purges.raise_floor(now)
+        self._decide(i.NewsMissed())
 
     def _at(self, when: float, what: object) -> None:
         heapq.heappush(self._due, _Due(when, next(self._order), what))
@@ -290,23 +362,33 @@
         )
 
     def _own(self, ask: Ask) -> i.Own | None:
-        """What the Router is told of a copy held here."""
-        if self._copies is None or not ask.purgeable or (copy := self._copies.find(ask)) is None:
+        """The copy held here, as the Router sees it."""
+        copy = self._held_copy(ask) if ask.purgeable else None
+        if copy is None or self._copies is None:
+            return None
+        age_ms = self.clock.now() - copy.given_ms
+        return i.Own(age_ms, self._copies.ready_ms(len(copy.body)))
+
+    def _held_copy(self, ask: Ask) -> Copy | None:
+        """The copy that may be served for a request just now, by what is known of purges."""
+        copy = self._copies.find(ask) if self._copies else None
+        if copy is not None and not self._lease.covers(copy.valid_as_of_ms, self.clock.now()):
+            self.counters.add("own_copies_suspended")
             return None
-        return i.Own(self.clock.age(copy.since_ms), self._copies.ready_ms(len(copy.body)))
+        return copy
 
     def _serve(self, number: int) -> None:
-        """The Router wants the own copy served. A purge may have come in between."""
+        """The Router wants the own copy served. It may have gone since it was asked about."""
         request = self._open.get(number)
         if request is None or self._copies is None:
             return
-        copy = self._copies.find(request.ask)
+        copy = self._held_copy(request.ask)
         if copy is None:
             self._finish(number, Answer(Result.REFUSED, wait_ms=self._settings.pushback_ms))
             return
         self.counters.add("own_copies")
         unchanged = bool(request.ask.have) and request.ask.have == copy.tag
-        self._copies.sent(len(copy.body), told=unchanged)
+        self._copies.sent(len(copy.body), unchanged)
         result, body = (Result.UNCHANGED, b"") if unchanged else (Result.SERVED, copy.body)
         self._finish(number, Answer(result, body, tag=copy.tag))
 
@@ -370,7 +452,7 @@
             request.lacking = e.code is i.Code.MISS and a.source != a.store
             if e.code is i.Code.OK:
                 if self._copies and request.ask.purgeable and e.since_ms and not e.unchanged:
-                    self._copies.put(request.ask, e, a.keep)
+                    self._copies.put(request.ask, e, a.keep, a.sent_ms)
                 result = Result.UNCHANGED if e.unchanged else Result.SERVED
                 self._finish(a.request, Answer(result, e.body, tag=e.tag))
         self._decide(
@@ -515,6 +597,7 @@
             for gone in before - set(self._stores):
                 self.caches.forget(gone)
         self._back = {s: at for s, at in self._back.items() if s in self._stores}
+        self._starts = {s: at for s, at in self._starts.items() if s in self._stores}
         self.counters.add("lists")
         self._decide(i.Members(news.kind, tuple(members)))
 
@@ -538,11 +621,24 @@
         return [*changed, self._member(s)]
 
     def _member(self, s: Store) -> i.Member:
-        started = self.clock.from_unix(max(s.started_unix_ms, self._back.get(s.id, 0.0)))
+        started = max(self._started(s), self._back.get(s.id, 0.0))
         hidden = s.id in self._excluded and s.phase is i.Phase.UP
         phase = i.Phase.DRAINING if hidden else s.phase
         return i.Member(s.id, s.zone, s.kind, s.cell, phase, s.weight, started)
 
+    def _started(self, s: Store) -> float:
+        """A store's start on the clock, the same for the same start; 0, for long ago, stays 0.
+
+        After a step of the wall clock it is the latest that it may be: the store counts as colder.
+        """
+        if s.started_unix_ms <= 0:
+            return 0.0
+        listed, started = self._starts.get(s.id, (0.0, 0.0))
+        if listed != s.started_unix_ms:
+            started = self.clock.latest(s.started_unix_ms)
+            self._starts[s.id] = s.started_unix_ms, started
+        return started
+
     def _by_hand(self, hand: Hand) -> None:
         """Guards what operators work on: nothing new goes to it, whatever the list says in between.
 
@@ -556,7 +652,7 @@
             else:
                 self._excluded.discard(hand.store)
                 if was and store:
-                    self._back[hand.store] = hand.unix_ms
+                    self._back[hand.store] = self.clock.latest(hand.unix_ms)
             if store and was != hand.out:
                 self._decide(i.Members(i.ListKind.PARTIAL, (self._member(store),)))
         if hand.answer is not None:
--- a/starlinghaven/routing/types.py
+++ b/starlinghaven/routing/types.py
@@ -152,6 +152,23 @@
     unix_ms: float
 
 
+@dataclass(frozen=True, slots=True)
+class NewsRequired:
+    """There is a change log to follow: without news from it, copies are not served for long."""
+
+
+@dataclass(frozen=True, slots=True)
+class NewsCurrent:
+    """All that the change log held at this moment (ms on the engine's clock) has been posted."""
+
+    as_of_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class NewsMissed:
+    """The change log lacks events: what they told, purges too, will never be heard."""
+
+
 @dataclass(slots=True)
 class Hand:
     """An operator takes a store out of use, or puts it back. `answer` hears whether there is such a store."""
@@ -189,7 +206,10 @@
     def ended(self, store: str, served: bool | None, now: float) -> None: ...
 
 
-Event = Taken | Left | Ended | FleetNews | PurgeNews | Hand | PeerNews | SpreadNews
+LogNews = FleetNews | PurgeNews | NewsRequired | NewsCurrent | NewsMissed
+"""What comes from the change log. It is applied in order, ahead of whatever else waits."""
+
+Event = Taken | Left | Ended | LogNews | Hand | PeerNews | SpreadNews
 
 
 class Counters:
--- a/starlinghaven/standins/changelog.py
+++ b/starlinghaven/standins/changelog.py
@@ -120,8 +120,8 @@
                 last = await self._resumed_after(stream)
                 if last is not None:
                     await self._send_frames(stream, last)
-        except (trio.BrokenResourceError, trio.ClosedResourceError):
-            return
+        except* (trio.BrokenResourceError, trio.ClosedResourceError):
+            pass  # the reader has gone
 
     @staticmethod
     async def _resumed_after(stream: trio.SocketStream) -> int | None:
--- a/tests/test_copies.py
+++ b/tests/test_copies.py
@@ -132,7 +132,7 @@
         copies.sent(10_000)
     booked = copies.ready_ms(10_000)
     assert booked > 1000 * 101 * (10_000 + 40) / LINK
-    copies.sent(10_000, told=True)
+    copies.sent(10_000, unchanged=True)
     assert 1000 * 500 / LINK < copies.ready_ms(10_000) - booked < 1000 * 1000 / LINK
     time.s += 60
     assert copies.ready_ms(10_000) == 1000 * 10_000 / FLOW, "an idle link owes nothing"
--- a/tests/test_discovery_outage.py
+++ b/tests/test_discovery_outage.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import signal
 import struct
 import time
@@ -193,8 +194,12 @@
     purged = 0
 
     async def log(stream: trio.SocketStream) -> None:
-        nonlocal purged
         asked.append(int.from_bytes(await stream.receive_some(8), "big"))
+        with contextlib.suppress(trio.BrokenResourceError):
+            await speak(stream)
+
+    async def speak(stream: trio.SocketStream) -> None:
+        nonlocal purged
         await stream.send_all(struct.pack(">IQB", 9, asked[-1], 0))
         await trio.sleep(1.2)
         rows = b"".join(
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -6,8 +6,9 @@
 from pathlib import Path
 
 ROOT = Path(__file__).parent.parent / "starlinghaven"
-MODULE = {"interface", "router"}
+MODULE = {"interface", "router", "decisions"}
 ALLOWED = {
+    "decisions": {"decisions", "interface"},  # parts of the Router: pure, they know nothing else
     "transport": {"transport"},
     "protocol": {"transport", "protocol"},
     "routing": {"protocol", "routing", *MODULE} - {"protocol"},
@@ -45,7 +46,8 @@
             assert imported(path) <= allowed, path
             seen += 1
     assert seen >= 25
-    assert imported(ROOT / "router.py") == {"interface"} and imported(ROOT / "interface.py") == set()
+    assert imported(ROOT / "router.py") == {"interface", "decisions"}
+    assert imported(ROOT / "interface.py") == set()
 
 
 def test_the_engine_knows_no_wire() -> None:
