Ask again for the events before a whole list whose number skips

What callers saw: a copy older than a purge. Cause: a list of kind 1 was taken whatever its number, and the purges between were never asked for. A log that counts on between two requests is asked again once after each event known, not once for each number, so that it can't be asked for ever.

--- a/starlinghaven/program/changelog.py
+++ b/starlinghaven/program/changelog.py
@@ -132,8 +132,7 @@
 
     async def _received(self, number: int, news: changelog.News | None) -> None:
         """One frame: applied if it follows, asked for again if a number is missing before it."""
-        whole = isinstance(news, changelog.Fleet) and news.whole and number > self.last
-        if not whole and not self._follows(number, news) and self._asked_again_after != self.last:
+        if not self._follows(number, news) and self._asked_again_after != self.last:
             self._asked_again_after = self.last
             self._counters.add("changelog_odd")
             raise ProtocolError(f"event {number} comes after {self.last}")
