Take the events of a new configuration while its change log is still silent

What callers saw: a copy older than a purge that the new configuration named. Cause: SIGHUP took over the change log's address alone and left known unread, until the new log spoke. Its events are now applied as far as they follow the last one known; what does not follow is left to the log. Evidence: test_a_new_configuration_tells_of_purges_while_its_change_log_is_still_silent failed before, passes now.

--- a/starlinghaven/program/changelog.py
+++ b/starlinghaven/program/changelog.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+from collections.abc import Sequence
 
 import trio
 
@@ -71,6 +72,14 @@
             self._address = address
             self._moved.cancel()
 
+    async def take(self, known: Sequence[tuple[int, changelog.News]]) -> None:
+        """Takes events that a configuration carries, as far as they follow the last one that is known."""
+        for number, news in known:
+            if number == self.last + 1:
+                self.last = number
+                self._counters.add("changelog_from_configuration")
+                await self._engine.post(event(news))
+
     async def run(self) -> None:
         """Follows the log for ever, over one connection after the other."""
         pause = PAUSE_S
--- a/starlinghaven/program/core.py
+++ b/starlinghaven/program/core.py
@@ -65,6 +65,7 @@
     async def reload(self, cfg: config.Config) -> None:
         """Takes over what may change while the program runs: the change log's address and events."""
         self.cfg = cfg
+        await self.log.take(cfg.known)
         if cfg.log_address:
             await self.engine.post(NewsRequired())
         self.log.move(cfg.log_address)
--- a/tests/test_discovery_outage.py
+++ b/tests/test_discovery_outage.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import json
 import signal
 import struct
 import time
@@ -248,3 +249,25 @@
             await d.ask(await p.client())
             assert asked[:2] == [1, 1] and d.served[-1].given_s >= purged / 1000
         nursery.cancel_scope.cancel()
+
+
+@in_trio
+async def test_a_new_configuration_tells_of_purges_while_its_change_log_is_still_silent(
+    tmp_path: Path,
+) -> None:
+    async with deployment(tmp_path) as d:
+        client = await hold_a_copy(d)
+        lose_silently(d)
+        now = int(time.time() * 1000)
+        path = tmp_path / "config.json"
+        configuration = json.loads(path.read_text())
+        configuration["known"]["results"].append({"seq": 2, "invalidate": {"object": KEY, "time": now}})
+        configuration["known"]["seq"] = 2
+        path.write_text(json.dumps(configuration))
+        d.program.process.send_signal(signal.SIGHUP)
+        await d.program.logged("configuration reloaded")
+        for copies in d.tier.copies.values():
+            copies.clear()
+        await trio.sleep(0.6)
+        await d.ask(client)
+        assert d.served[-1].given_s >= now / 1000
