Map stamped times onto the monotonic clock by the widest range that steps allow

What callers would see: after a step of the machine's wall clock (an hour or 0.7 s back), a purge told later was taken for older than it is, so that requests to caches carried too wide an age bound or none, and a store that started after the step was taken for warm. Cause: stamps were read by the offset between wall and monotonic clock at the process's start alone. The clock now keeps the most that both were apart, looked at each turn: copies get the earliest moment that a stamp may stand for, purges and starts the latest, none after now. A purge heard is therefore never older than it can be, and a start maps to the same moment each time it is listed. The cost after a forward step of the machine: copies with a fresh time are too old to be served by the process itself until it starts anew.

--- a/starlinghaven/routing/engine.py
+++ b/starlinghaven/routing/engine.py
@@ -240,6 +240,7 @@
     def _turn(self) -> None:
         """What comes before all events of a turn: the state of the news, and the news itself."""
         now = self.turned_at = self.clock.now()
+        self.clock.observe()
         if self._lease.turn(now):
             self.counters.add("pauses")
         while self._news:
