Keep calls by hand in order where the wall clock steps back

What operators saw: a store put back (or taken out) at one process, and the other process of an upgrade never heard of it, since a call counts as newer by its Unix time. A call now gets a time after all that are remembered. Evidence: test_a_later_call_by_hand_counts_though_the_wall_clock_stepped_back failed before and passes.

--- a/starlinghaven/program/handover.py
+++ b/starlinghaven/program/handover.py
@@ -5,6 +5,7 @@
 import contextlib
 import json
 import logging
+import math
 import os
 import tempfile
 import time
@@ -91,6 +92,8 @@
         """Remembers a call for the other process and for the next one."""
         old = 1000.0 * (time.time() - KEPT_S)
         hands = {s: h for s, h in self._read().items() if h.out or h.unix_ms > old}
+        latest = max((h.unix_ms for h in hands.values()), default=-math.inf)
+        hand.unix_ms = max(hand.unix_ms, latest + 1.0)  # in order, also where the wall clock steps back
         hands[hand.store] = hand
         recent = sorted(hands.values(), key=lambda h: h.unix_ms)[-MOST:]
         self._seen[hand.store] = hand
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -55,6 +55,15 @@
     assert Handover("").news() == [] and not Handover("").successor()
 
 
+def test_a_later_call_by_hand_counts_though_the_wall_clock_stepped_back(tmp_path: Path) -> None:
+    one, other = Handover(str(tmp_path)), Handover(str(tmp_path))
+    one.keep(Hand(CACHE, True, 4e12))
+    other.news()
+    one.keep(Hand(CACHE, False, 4e12 - 3.6e6))
+    (news,) = other.news()
+    assert not news.out
+
+
 @in_trio
 async def test_operators_see_figures_and_take_a_store_out_and_back(tmp_path: Path) -> None:
     door = free_port()
