Tell a store the time that is left when a request is written, not when it was decided

The time since the decision is now taken off at the write. Evidence: test_the_deadline_that_a_store_is_given_is_less_by_the_dial_that_went_before failed before, passes now.

--- a/starlinghaven/program/caches.py
+++ b/starlinghaven/program/caches.py
@@ -197,12 +197,13 @@
 
     def _write(self, link: CacheLink, a: Attempt) -> None:
         ask = a.ask
+        waited_ms = self._engine.clock.now() - a.sent_ms  # for its dial
         order = caches.Order(
             id=ask.id,
             cls=self._classes[ask.cls],
             key=ask.key,
             part=ask.part,
-            wait_ms=a.timeout_ms,
+            wait_ms=a.timeout_ms - waited_ms,
             idem=ask.idem,
             source="" if a.source in ("", a.store) else a.source,
             keep=a.keep,
--- a/tests/test_cache_side.py
+++ b/tests/test_cache_side.py
@@ -22,7 +22,7 @@
 from starlinghaven.transport.pool import DialFailed
 from starlinghaven.transport.ring import Memory, Ring
 from tests.loopback import Words, in_trio, until
-from tests.steps import Posts, Wire, drive
+from tests.steps import Posts, Time, Wire, drive
 
 
 def attempt(number: int = 0) -> Attempt:
@@ -217,3 +217,24 @@
                     assert posts.events[n:] == [Ended(other, i.Code.RESET)]
         assert len(accepted) == 2
         nursery.cancel_scope.cancel()
+
+
+@in_trio
+async def test_the_deadline_that_a_store_is_given_is_less_by_the_dial_that_went_before(
+    tmp_path: Path,
+) -> None:
+    async with side() as (cache_side, posts):
+        time = Time()
+        posts.clock = time.clock()
+        one, (up, wire, _) = attempt(), link(posts)
+        one.sent_ms = posts.clock.now()
+
+        async def dial(_: str, met: object) -> CacheLink:
+            time.s += 0.4
+            await trio.lowlevel.checkpoint()
+            return up
+
+        setattr(cache_side.pool, "link", dial)  # noqa: B010
+        cache_side.send(one)
+        await until(lambda: wire.written)
+        assert b"w=400" in wire.written[0], "of 800 ms"
