--- a/starlinghaven/program/core.py
+++ b/starlinghaven/program/core.py
@@ -13,6 +13,7 @@
 from starlinghaven.routing.copies import Copies
 from starlinghaven.routing.engine import Engine
 from starlinghaven.routing.types import Counters, NewsRequired
+from starlinghaven.transport import arrivals
 from starlinghaven.transport.ring import Memory
 
 RINGS = 0.35  # part of the memory limit that rings may hold; the rest is the interpreter's and answers'
@@ -54,6 +55,7 @@
 
     async def start(self, nursery: trio.Nursery) -> None:
         """Starts the tasks. The fleet known at the start is in the queue when this returns."""
+        arrivals.install()
         nursery.start_soon(self.caches.run)
         nursery.start_soon(self.engine.run, self.caches)
         for n, (_, news) in enumerate(self.cfg.known):
--- /dev/null
+++ b/starlinghaven/transport/arrivals.py
@@ -0,0 +1,55 @@
+"""How long what is read now may have waited in the system's buffers: the process may have stood still."""
+
+from __future__ import annotations
+
+import time
+
+import trio
+
+BLOCKED_S = 0.02  # a wait for events that took less may not have blocked: what it found came before it
+OVERSLEPT_S = 0.05  # beyond its time-out, from which a wait for events was interrupted
+
+
+class ArrivalWatch(trio.abc.Instrument):
+    """Notes when the event loop looked at its sockets; times are seconds on the monotonic clock."""
+
+    def __init__(self) -> None:
+        self._looked_at = self._wait_began_at = time.monotonic()
+        self._arrived_after = self._looked_at
+
+    def before_io_wait(self, timeout: float) -> None:
+        """The loop begins to wait for events."""
+        self._wait_began_at = time.monotonic()
+
+    def after_io_wait(self, timeout: float) -> None:
+        """The loop has looked: what is readable now came in after the moment noted here."""
+        now = time.monotonic()
+        waited = now - self._wait_began_at
+        if waited > timeout + OVERSLEPT_S:
+            self._arrived_after = self._wait_began_at
+            return  # interrupted, it may have ended without a look at the sockets (PEP 475)
+        blocked = timeout > 0 and waited >= BLOCKED_S
+        self._arrived_after = now if blocked else self._looked_at
+        self._looked_at = now
+
+    def unread_for_s(self) -> float:
+        """Seconds that what is read in this turn of the loop may have waited, at most."""
+        return time.monotonic() - self._arrived_after
+
+
+_watch: trio.lowlevel.RunVar[ArrivalWatch] = trio.lowlevel.RunVar("arrivals")
+
+
+def install() -> None:
+    """Watches the running event loop from now on."""
+    watch = ArrivalWatch()
+    trio.lowlevel.add_instrument(watch)
+    _watch.set(watch)
+
+
+def unread_for_s() -> float:
+    """As of the watch installed in this event loop; 0 where there is none."""
+    try:
+        return _watch.get().unread_for_s()
+    except LookupError:
+        return 0.0
--- /dev/null
+++ b/tests/test_arrivals.py
@@ -0,0 +1,57 @@
+"""Requests that lay unread while the process stood still: their clients' time has run meanwhile."""
+
+from __future__ import annotations
+
+import signal
+import time
+from pathlib import Path
+
+import trio
+
+from starlinghaven.standins.platform import Archive
+from starlinghaven.transport.arrivals import ArrivalWatch
+from tests.loopback import in_trio, program
+
+STOPPED_S, TTL_MS = 1.0, 2_000
+
+
+@in_trio
+async def test_a_store_gets_no_more_time_than_a_client_has_whose_request_lay_unread(tmp_path: Path) -> None:
+    archive = Archive()
+    own_copies = {"flow_bytes_per_s": 310_000.0, "link_bytes_per_s": 1_240_000.0}
+    async with program(tmp_path, archive=archive, more=own_copies) as p:
+        client = await p.client()
+        await client.call()
+        p.process.send_signal(signal.SIGSTOP)
+        await trio.sleep(0.1)
+        asked = time.monotonic()
+        await client.send(key="00000000000000ab", ttl=str(TTL_MS))
+        await trio.sleep(STOPPED_S)
+        p.process.send_signal(signal.SIGCONT)
+        answer = await client.words.read()
+        assert answer is not None and answer[1] == b"RESULT"
+        answered = time.monotonic()
+        (order,) = (o for o in archive.orders if o["k"] == "00000000000000ab")
+        left_ms = TTL_MS - 1000 * STOPPED_S
+        assert int(order["w"]) <= left_ms + 150 and answered - asked < 2.0
+        await client.call(key="00000000000000ac", ttl=str(TTL_MS))
+        assert int(archive.orders[-1]["w"]) > 0.8 * (TTL_MS - 150), "what comes later has all its time"
+
+
+def test_only_waits_that_were_interrupted_or_did_not_block_leave_doubt() -> None:
+    watch = ArrivalWatch()
+    watch.before_io_wait(0.1)
+    time.sleep(0.03)
+    watch.after_io_wait(0.1)
+    assert watch.unread_for_s() < 0.005, "an event ended the wait"
+    time.sleep(0.03)
+    watch.before_io_wait(0.0)
+    watch.after_io_wait(0.0)
+    assert watch.unread_for_s() >= 0.03, "it may have come while the loop was busy"
+    watch.before_io_wait(0.001)
+    time.sleep(0.1)
+    watch.after_io_wait(0.001)
+    assert watch.unread_for_s() >= 0.1, "it may have come while the process stood still"
+    watch.before_io_wait(0.0)
+    watch.after_io_wait(0.0)
+    assert watch.unread_for_s() >= 0.1, "an interrupted wait may have ended without a look"
