Keep a change log's connection on which news lies unread after a stop

What happened: a process that had stood still for 2 s took its connection to the change log for silent and closed it over the events that lay unread on it; it learned of them only from the next connection, seconds later where the log is slow. What is unread is now read before silence is judged. A connection whose frames come ever later is given up only after a minute: each new one delays what is still to come.

--- a/starlinghaven/program/changelog.py
+++ b/starlinghaven/program/changelog.py
@@ -133,8 +133,11 @@
 
     @staticmethod
     async def _watch(connection: Connection) -> None:
-        """Ends a connection that has gone silent: it may never break by itself."""
-        while trio.current_time() - connection.heard_at <= SILENCE_S:
+        """Ends a connection that has gone silent: it may never break by itself.
+
+        One on which something lies unread is not: the process may have stood still.
+        """
+        while trio.current_time() - connection.heard_at <= SILENCE_S or connection.pending:
             await trio.sleep(SILENCE_S / 8)
         log.info("change log silent for %.1f s", trio.current_time() - connection.heard_at)
         connection.abort()
--- a/starlinghaven/protocol/changelog.py
+++ b/starlinghaven/protocol/changelog.py
@@ -16,7 +16,7 @@
 _OBJECT, _GROUP = struct.Struct(">8sQ"), struct.Struct(">HQ")
 HEARTBEAT_MS = 1_000.0  # between two empty frames
 LATE_MS = 3_000.0  # that frames may lag behind what the connection proves
-SETTLE_MS = 5_000.0  # of a connection in which it is not judged
+SETTLE_MS = 60_000.0  # of a connection in which it is not judged: each new one delays what is to come
 READY, DRAINING, GONE = 0, 1, 2
 STATES = {"active": READY, "leaving": DRAINING, "left": GONE}
 
--- a/tests/test_discovery_outage.py
+++ b/tests/test_discovery_outage.py
@@ -141,6 +141,17 @@
             await trio.sleep(3.0)
 
 
+@in_trio
+async def test_a_stopped_process_keeps_the_connection_on_which_news_lies_unread(tmp_path: Path) -> None:
+    async with deployment(tmp_path) as d:
+        await hold_a_copy(d)
+        d.program.process.send_signal(signal.SIGSTOP)
+        await trio.sleep(3.0)
+        d.program.process.send_signal(signal.SIGCONT)
+        await trio.sleep(1.0)
+        assert d.endpoint.connections == 1
+
+
 @in_trio
 async def test_an_answer_on_its_way_is_not_kept_when_its_purge_was_forgotten(tmp_path: Path) -> None:
     async with deployment(tmp_path) as d:
