Play random faults from a seed on real processes: lab soak

Drawn from the seed: the log silent, refused, slow, moved by SIGHUP, events left out; purges of objects and groups all through; SIGKILL and restart, SIGSTOP, series of signals, SIGTERM with clients that go on until the earliest SIGKILL; idle crowds. Checkers: purges (known once heard, and 7 s later at the latest), one final answer, no two attempts at once, nothing for clients gone, time limits passed on, processes live, enough served.

--- a/starlinghaven/lab/__main__.py
+++ b/starlinghaven/lab/__main__.py
@@ -4,6 +4,7 @@
 
 import json
 import time
+from collections import Counter
 from pathlib import Path
 from typing import Annotated, Any
 
@@ -13,6 +14,10 @@
 from starlinghaven.lab import report as reports
 from starlinghaven.lab import scenario as scenarios
 from starlinghaven.lab.rig import Rig
+from starlinghaven.lab.soak import checks
+from starlinghaven.lab.soak import plan as plans
+from starlinghaven.lab.soak.stage import OBJECTS, ROOT, Stage
+from starlinghaven.lab.soak.stores import GROUPS
 
 app = typer.Typer(no_args_is_help=True, add_completion=False, help=__doc__)
 
@@ -63,6 +68,30 @@
     _show(reports.write(folder), folder)
 
 
+@app.command()
+def soak(
+    seed: Annotated[int, typer.Option(help="what the faults are drawn from")] = 1,
+    seconds: Annotated[float, typer.Option(help="how long it plays")] = 30.0,
+    processes: Annotated[int, typer.Option(help="edge proxies")] = 2,
+    program: Annotated[Path, typer.Option(help="the tree whose program is started")] = ROOT,
+    out: Annotated[Path | None, typer.Option(help="folder for history and logs")] = None,
+) -> None:
+    """Plays random faults of the change log and the processes. Ends with 1 if a rule was broken."""
+    folder = out or Path("found") / f"soak-{seed}-{time.strftime('%Y%m%dT%H%M%S')}"
+    plan = plans.draw(seed, seconds, processes, OBJECTS, GROUPS)
+    stage = Stage(plan, folder.absolute(), program.absolute())
+    trio.run(stage.run)
+    broken = checks.run(stage.history.entries)
+    words = Counter(e["word"] for e in stage.history.entries if e["what"] == "answer")
+    faults = Counter(str(action.kind) for action in plan.actions)
+    typer.echo(f"seed {seed}: {json.dumps(words, sort_keys=True)} {json.dumps(faults, sort_keys=True)}")
+    for name, found in broken.items():
+        typer.echo(f"BROKEN {name}: {found[0]} ({len(found)} in all)")
+    typer.echo(f"{'rules broken' if broken else 'all rules kept'}; history: {folder / 'history.jsonl'}")
+    if broken:
+        raise typer.Exit(1)
+
+
 def _show(told: dict[str, Any], folder: Path) -> None:
     for name, value in told.items():
         if name != "broken" and value is not None:
--- a/starlinghaven/standins/changelog.py
+++ b/starlinghaven/standins/changelog.py
@@ -135,6 +135,7 @@
 
     async def _send_frames(self, stream: trio.SocketStream, last: int) -> None:
         async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._until_closed, stream, nursery.cancel_scope)
             send, receive = trio.open_memory_channel[tuple[float, bytes, int]](100_000)
             nursery.start_soon(self._deliver, stream, receive)
             heartbeat_at = trio.current_time() + HEARTBEAT_S
@@ -151,6 +152,12 @@
                     send.send_nowait((trio.current_time(), frame(last, 0, b""), 0))
                 await self._log.appended(heartbeat_at - trio.current_time())
 
+    @staticmethod
+    async def _until_closed(stream: trio.SocketStream, scope: trio.CancelScope) -> None:
+        while await stream.receive_some():
+            pass
+        scope.cancel()
+
     async def _deliver(
         self, stream: trio.SocketStream, frames: trio.MemoryReceiveChannel[tuple[float, bytes, int]]
     ) -> None:
