Give a listener its places back once descriptors are no longer short

What callers saw: connections that got no answer long after the trouble. Each accept that failed with EMFILE or ENFILE took places away, down to one, and none ever came back. transport/places.py now owns the limit: a shortage takes places once (not again before the first is given up), leaves 8, and they are back after 1 s, doubled up to 8 s while shortages recur. Evidence: test_all_places_are_back_after_descriptors_were_short (20 failures in a row, then 32 clients at once) failed before, passes now; test_idle_clients_fill_the_descriptors_while_discovery_is_down still passes. Looked for beside it: other limits that only fall or only grow. The Router's purse, wins and known fade both ways; rests double to a bound and fall back; no other was found by reading.

--- a/starlinghaven/transport/listener.py
+++ b/starlinghaven/transport/listener.py
@@ -6,6 +6,7 @@
 import logging
 import os
 import socket
+import time
 from collections import OrderedDict
 from collections.abc import Awaitable, Callable
 from functools import partial
@@ -15,6 +16,7 @@
 
 from starlinghaven.transport import errors
 from starlinghaven.transport.connection import Connection
+from starlinghaven.transport.places import Places
 from starlinghaven.transport.ring import Memory, NoMemory
 
 log = logging.getLogger(__name__)
@@ -22,7 +24,6 @@
 BACKLOG = 512
 PAUSE_S = 0.05  # seconds without accepting after descriptors or memory ran out
 LINGERING = 16  # connections in their lingering close beyond the places, at most a quarter of these
-FEWER = 16  # descriptors left to others once they ran out before the places did
 MOST_FAILED = 8  # accepts that may fail in a row before there is a pause
 
 Serve = Callable[[Connection], Awaitable[None]]
@@ -59,7 +60,7 @@
         shared: bool = False,
         gate: Gate | None = None,
     ) -> None:
-        self._address, self._memory, self._most = split_address(address), memory, most
+        self._address, self._memory, self._places = split_address(address), memory, Places(most)
         self._lingering: OrderedDict[Connection, None] = OrderedDict()
         self._shared = shared  # another process may listen on the address too
         self._passed = passed  # descriptor of a socket that listens already and is another's
@@ -76,7 +77,7 @@
     @property
     def most(self) -> int:
         """Connections held at once; beyond it, new ones wait in the kernel's accept queue."""
-        return self._most
+        return self._places.limit(time.monotonic())
 
     async def open(self) -> None:
         if self._passed is not None:
@@ -192,8 +193,7 @@
         log.warning("accept failed: %s", error)
         if error.errno in errors.SHORT_OF_DESCRIPTORS:
             # Whoever holds places idle must not keep descriptors from the change log and the stores.
-            held = self.count + len(self._lingering)
-            self._most = max(min(self._most, max((held - FEWER) * 4 // 5, held // 2)), 1)
+            self._places.shortage(self.count + len(self._lingering), time.monotonic())
             if self._shed():
                 return
         if meaning is errors.Meaning.SHORTAGE or in_a_row > MOST_FAILED:
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -106,7 +106,7 @@
         return Daemon(config.parse(raw() | {"limits": {"sockets": sockets}}, {}), Operator())
 
     daemon = trio.run(made)
-    clients, stores = daemon._listeners[0]._most, daemon.core.caches.pool._most
+    clients, stores = daemon._listeners[0].most, daemon.core.caches.pool._most
     assert clients >= sockets // 3 + 16 and stores >= 64 and clients + stores <= sockets - 24
 
 
--- a/tests/test_system_calls.py
+++ b/tests/test_system_calls.py
@@ -9,12 +9,14 @@
 from pathlib import Path
 from typing import Any, cast
 
+import pytest
 import trio
 
+from starlinghaven.transport import places as places_module
 from starlinghaven.transport.connection import Connection
 from starlinghaven.transport.listener import Listener
 from starlinghaven.transport.ring import Memory, Ring
-from tests.loopback import free_port, in_trio
+from tests.loopback import free_port, in_trio, until
 
 ACCEPT_ERRORS = (
     *(errno.ECONNABORTED, errno.EINTR, errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EPERM),
@@ -22,7 +24,7 @@
     *(errno.EOPNOTSUPP, errno.ENETUNREACH, errno.ENOSR, errno.ESOCKTNOSUPPORT, errno.EPROTONOSUPPORT),
     *(errno.ETIMEDOUT, errno.ECONNRESET),
 )
-PLACES = 40
+PLACES, CLIENTS = 40, 32
 
 
 class FailingSocket:
@@ -89,3 +91,15 @@
                 assert await echoed(listener, 1) == 1, errno.errorcode[number]
 
     in_trio(play)(tmp_path)
+
+
+@pytest.mark.parametrize("number", [errno.EMFILE, errno.ENFILE])
+def test_all_places_are_back_after_descriptors_were_short(tmp_path: Path, number: int) -> None:
+    async def play(folder: Path) -> None:
+        async with listening(number, 20) as listener:
+            assert await echoed(listener, 1) == 1
+            with trio.fail_after(2 * places_module.MOST_RETURN_S):
+                await until(lambda: listener.most == PLACES)
+            assert await echoed(listener, CLIENTS) == CLIENTS
+
+    in_trio(play)(tmp_path)
