Try a read or write again that failed for a moment for want of kernel memory

What callers saw: an answer lost with its connection, when a send or a read failed once with ENOBUFS or ENOMEM, as Linux documents for both. The connection itself is well then: it is tried again after 10 ms. Evidence: test_a_read_or_write_that_fails_for_a_moment_does_not_end_a_connection failed before, passes now.

--- a/starlinghaven/transport/connection.py
+++ b/starlinghaven/transport/connection.py
@@ -11,8 +11,10 @@
 
 import trio
 
+from starlinghaven.transport import errors
 from starlinghaven.transport.ring import Memory, NoMemory, Ring
 
+PASSING_S = 0.01  # seconds after which a read or write is tried again that failed for a moment
 STALL_S = 10.0  # seconds in which a peer must read something of what waits for it
 STARVED_S = 2.0  # seconds that a half-read message may wait for memory
 HIGH_WATER = 512 * 1024  # bytes unsent from which nothing more is read from the same peer
@@ -230,7 +232,10 @@
                 if not self._detaching:
                     raise
                 break
-            except OSError:
+            except OSError as error:
+                if errors.passes(error):
+                    await trio.sleep(PASSING_S)
+                    continue
                 got = 0  # a reset ends it like the peer's end, and costs no more: see `serve`
             finally:
                 self.reading = False
@@ -287,9 +292,11 @@
                     if not self._detaching:
                         raise
                     return  # what is left goes on elsewhere
-                except OSError:
-                    self._scope.cancel()
-                    return
+                except OSError as error:
+                    if not errors.passes(error):
+                        self._scope.cancel()
+                        return
+                    await trio.sleep(PASSING_S)
             if stalled.cancelled_caught:
                 self._scope.cancel()
                 return
--- a/starlinghaven/transport/errors.py
+++ b/starlinghaven/transport/errors.py
@@ -17,6 +17,7 @@
 SHORT_OF_DESCRIPTORS = frozenset({errno.EMFILE, errno.ENFILE})
 SHORTAGES = SHORT_OF_DESCRIPTORS | {errno.ENOBUFS, errno.ENOMEM, errno.ENOSR}
 BROKEN = frozenset({errno.EBADF, errno.EFAULT, errno.EINVAL, errno.ENOTSOCK})
+PASSING = frozenset({errno.ENOBUFS, errno.ENOMEM, errno.EINTR, errno.EAGAIN})
 
 
 def of_accept(error: OSError) -> Meaning:
@@ -26,3 +27,8 @@
     if error.errno in SHORTAGES:
         return Meaning.SHORTAGE
     return Meaning.CONNECTION
+
+
+def passes(error: OSError) -> bool:
+    """Whether a read or write on a connection may be tried again: the connection itself is well."""
+    return error.errno in PASSING
--- a/tests/test_system_calls.py
+++ b/tests/test_system_calls.py
@@ -103,3 +103,24 @@
             assert await echoed(listener, CLIENTS) == CLIENTS
 
     in_trio(play)(tmp_path)
+
+
+@in_trio
+async def test_a_read_or_write_that_fails_for_a_moment_does_not_end_a_connection(tmp_path: Path) -> None:
+    for call in ("recv_into", "send"):
+        for number in (errno.ENOBUFS, errno.ENOMEM):
+            ours, theirs = trio.socket.socketpair()
+            async with trio.open_nursery() as nursery:
+                connection = object.__new__(Connection)
+                with pytest.MonkeyPatch.context() as patch:
+                    patch.setattr(type(ours), "setsockopt", lambda *_: None)
+                    Connection.__init__(connection, ours, Memory(1 << 20))
+                connection._sock = cast(Any, FailingSocket(ours, call, number, 3))
+                if call == "send":
+                    connection._send_now = lambda data: 0  # type: ignore[method-assign]
+                nursery.start_soon(echo, connection)
+                await theirs.send(b"x")
+                with trio.fail_after(2):
+                    assert await theirs.recv(1) == b"x", (call, errno.errorcode[number])
+                nursery.cancel_scope.cancel()
+            theirs.close()
