Split popularity, cold budgets and the state of a store out of the Router

Tests that reached into the Router for these parts now name the parts; test_deploy also checks that every file of the package is named.

--- /dev/null
+++ b/starlinghaven/decisions/cold.py
@@ -0,0 +1,85 @@
+"""Cold budgets: what stores that have just started may be sent by this proxy, one of several."""
+
+from __future__ import annotations
+
+import math
+from random import Random
+
+from starlinghaven import interface as i
+from starlinghaven.decisions.stores import StoreState
+
+BUDGET_SHARE = 0.9  # part of this proxy's share of a cold budget that it spends; the rest is for chance
+CHANCE = 3.0  # standard deviations of chance that a cold budget leaves room for among many proxies
+
+
+class ColdBudgets:
+    """Keeps each cold store within what it bears from all proxies together.
+
+    Costs and shares are milliseconds of sending, capacities transfers at full pace.
+    """
+
+    def __init__(self, settings: i.Settings, random: Random, now: float) -> None:
+        self._settings, self._random, self._began = settings, random, now
+
+    def _figures(self, store: StoreState) -> tuple[float, float, float]:
+        """The part of its capacity with which a store starts, ms until it is warm, multiple that fells it."""
+        s = self._settings
+        if store.m.kind == s.parent_kind:
+            return s.parent_cold_from, s.parent_cold_ms, s.parent_fall_multiple
+        return s.cold_from, s.cold_ms, s.fall_multiple
+
+    def warmth(self, store: StoreState, now: float) -> float:
+        """The part of its capacity that a store surely has."""
+        first, length, _ = self._figures(store)
+        age = now - store.m.started_ms
+        if store.m.started_ms <= 0 or age >= length or store.m.kind == self._settings.origin_kind:
+            return 1.0
+        return first + (1.0 - first) * max(age, 0.0) / length
+
+    def sharers(self, store: StoreState) -> int:
+        """The proxies that send to a store."""
+        s = self._settings
+        if store.m.kind == s.parent_kind:
+            return s.proxies
+        return max(1, s.zone_proxies[s.zone] if s.zone < len(s.zone_proxies) else s.proxies)
+
+    def share(self, store: StoreState, capacity: float) -> float:
+        """This proxy's share of what a cold store bears in any window."""
+        multiple = self._figures(store)[2]
+        return BUDGET_SHARE * multiple * capacity * self._settings.fall_ms / self.sharers(store)
+
+    def _gap(self, store: StoreState, capacity: float, cost: float) -> float:
+        """Time between two sends of one proxy of many, so that all together, with chance, keep the budget."""
+        most = self.share(store, capacity) * self.sharers(store) / cost
+        mean = most + CHANCE**2 / 2 - CHANCE * math.sqrt(most + CHANCE**2 / 4)
+        return self._settings.fall_ms * self.sharers(store) / max(mean, 0.01)
+
+    def allows(
+        self, store: StoreState, capacity: float, cost: float, largest_mean: float, now: float
+    ) -> bool:
+        """Whether a request of this cost may go to a store now.
+
+        A share of whole requests is an exact budget for each window; a large one has it alone, as by the rule
+        each counts with its class's mean. Among so many proxies that a share is less than one request, each
+        sends one now and then, from a start drawn by chance.
+        """
+        if self.warmth(store, now) >= 1.0:
+            store.spent.clear()
+            store.total, store.free_at = 0.0, -math.inf
+            return True
+        while store.spent and store.spent[0][0] < now - self._settings.fall_ms:
+            store.total -= store.spent.popleft()[1]
+        share = self.share(store, capacity)
+        if largest_mean <= share:
+            settled = now >= self._began + self._settings.fall_ms  # a life before this one may have spent it
+            return settled and (not store.spent or store.total + cost <= share)
+        if store.free_at == -math.inf:
+            store.free_at = now + self._random.random() * self._gap(store, capacity, cost)
+        return now >= store.free_at
+
+    def spend(self, store: StoreState, capacity: float, cost: float, at: float, now: float) -> None:
+        """Counts a request where it may reach the store at the latest: others may wait for the same dial."""
+        if self.warmth(store, now) < 1.0:
+            store.spent.append((at, cost))
+            store.total += cost
+            store.free_at = at + self._gap(store, capacity, cost)
--- a/starlinghaven/router.py
+++ b/starlinghaven/router.py
@@ -14,21 +14,15 @@
 import random
 from collections import OrderedDict, deque
 from hashlib import blake2b
-from heapq import nlargest, nsmallest
 from zlib import crc32
 
 from starlinghaven import interface as i
+from starlinghaven.decisions.cold import ColdBudgets
+from starlinghaven.decisions.popularity import COUNTS, UNKEPT, Popularity
 from starlinghaven.decisions.purges import COUNTS_AS_KNOWN_MS, PurgeTable
+from starlinghaven.decisions.stores import FILL_SHARE, GRAVE, SICK, StoreState
 
-# Popularity.
-COUNTS = 4096  # objects counted at most; a location's live objects fit well within
-HALVE_MS = 30_000.0  # ms between halvings of the counts: a proxy counts few first parts a second
-GOLD = 8  # objects in gold (T1 of the source); cooled gold keeps its rank, so few
-GOLD_EVERY_MS = 500.0  # ms between two rankings of the counts; ranks move slower than this
-GOLD_FROM = 5.0  # counted requests of a gold object, so that proxies agree and chance makes none
-KEPT_FROM = 2.0  # counted requests from which an object is silver, not bronze
-KNOWN_STEP = 0.02  # weight of one request in the share of requests whose object was counted before
-GOLD_RANK, SILVER_RANK, UNKEPT = 3, 1, 0
+# Placement.
 WIDE_FROM = 6  # caches from which gold has three homes, not two
 
 # Load. A cache's capacity is in transfers at full pace; load is requests held over capacity.
@@ -53,13 +47,11 @@
 FILLS_MS = 5_000.0  # ms over which both are counted
 
 # Health.
-SLIGHT, GRAVE = 0.1, 0.35  # weight of a time-out or error; of an outcome that only a sick store gives
-SICK = 0.5  # share of bad outcomes from which a store is stepped over
+SLIGHT = 0.1  # weight of a time-out or error
 WELL = 0.15  # ... if another has at most this share, else the cause is shared
 CLEARLY = 0.5  # ... or at most this part of its share: beside one that seems dead, the other need only live
 VOICES = 2  # other proxies that make a store suspect here: one may be sick itself
-REST_MS, REST_MOST_MS = 500.0, 4_000.0  # ms that it rests, doubled each time up to the most
-FILL_SHARE = 0.3  # part of the good answers that came by way of the source, where no note tells
+REST_MOST_MS = 4_000.0  # ms that a store rests at most; doubled each time up to it
 TRIAL = 2  # attempts out at once at a store on trial after its rest
 
 UNCLEAR = (i.Code.TIMEOUT, i.Code.ERROR, i.Code.FULL)  # store and source may both be to blame
@@ -77,8 +69,6 @@
 PAUSE_MS = 40.0  # ms before an uncached request goes to the origin again, doubled each time
 
 # Rules.
-BUDGET_SHARE = 0.9  # part of this proxy's share of a cold budget that it spends; the rest is for chance
-CHANCE = 3.0  # standard deviations of chance that a cold budget leaves room for among many proxies
 PURGE_MARGIN_MS = 60.0  # ms for clocks and ways in the age of a purged object's copy
 LIST_RETRY_MS = 1_000.0  # ms until the list is asked for again after an error
 TABLE = 20_000  # entries at most in the tables of purges and of attempts out
@@ -92,40 +82,6 @@
     return (int.from_bytes(raw, "big") + 1) / (2.0**56 + 2)
 
 
-class _Store:
-    """What this proxy knows of a store."""
-
-    __slots__ = (
-        *("m", "out", "lent", "others", "busy", "hits", "told", "bad", "failed_at", "until", "rest"),
-        *("spent", "total", "free_at", "heard", "named", "share", "up", "lost"),
-    )
-
-    def __init__(self, member: i.Member) -> None:
-        self.m = member
-        self.out = 0  # own attempts out
-        self.lent = 0  # own attempts out elsewhere that name it as source
-        self.others, self.told = 0.0, -math.inf  # requests held for other proxies, and when told
-        self.hits, self.heard = 1 - FILL_SHARE, -math.inf  # share of hits, lately, and when reported
-        self.busy = 1.0  # share of the requests held that keep it busy, the rest waits for fills
-        self.bad, self.failed_at, self.until, self.rest = 0.0, -math.inf, -math.inf, REST_MS
-        self.named = 0  # other proxies that call it silent, less those that say it serves
-        self.up = False  # its last attempt was answered, so a connection to it is up
-        self.lost = False  # it could not be reached since it last worked
-        self.share = 1.0  # weight in the hash that all proxies together found
-        self.spent: deque[tuple[float, float]] = deque()  # cold budget: when and how much
-        self.total = 0.0
-        self.free_at = -math.inf  # where a share is less than a request: when the next may be sent
-
-    def failed(self, weight: float, now: float) -> None:
-        self.bad, self.failed_at = self.bad + weight * (1.0 - self.bad), now
-        self.lost = self.lost or weight >= GRAVE
-
-    def worked(self, weight: float) -> None:
-        self.bad, self.lost = self.bad - weight * self.bad, False
-        if self.bad < SICK / 2:
-            self.rest, self.until = REST_MS, -math.inf
-
-
 class _Flight:
     """One attempt that is out."""
 
@@ -161,17 +117,15 @@
         i.validate(settings)
         self.s, self.now = settings, now
         self.random = random.Random(seed)
-        self.stores: OrderedDict[str, _Store] = OrderedDict()
-        self.caches: list[_Store] = []  # those of the own zone that are up; set with each list
-        self.parents, self.origins = list[_Store](), list[_Store]()
-        self.ranked_for: OrderedDict[tuple[object, ...], list[_Store]] = OrderedDict()
+        self.stores: OrderedDict[str, StoreState] = OrderedDict()
+        self.caches: list[StoreState] = []  # those of the own zone that are up; set with each list
+        self.parents, self.origins = list[StoreState](), list[StoreState]()
+        self.ranked_for: OrderedDict[tuple[object, ...], list[StoreState]] = OrderedDict()
         self.jobs: dict[int, _Job] = {}
         self.flights: OrderedDict[tuple[int, int], _Flight] = OrderedDict()
         self.waiting: list[deque[tuple[float, tuple[int, int]]]] = [deque() for _ in settings.classes]
-        self.counts: dict[str, float] = {}
-        self.known = 0.0  # share of requests whose object was counted before, lately
-        self.halved = self.ranked = self.began = now
-        self.gold: dict[str, int] = {}  # object -> turn among its homes
+        self.popularity = Popularity(self.random, now)
+        self.cold = ColdBudgets(settings, self.random, now)
         self.spread = i.Spread()  # what all proxies together counted
         self.purges = PurgeTable(TABLE, settings.purge_done_ms + PURGE_MARGIN_MS)
         self.news_at = math.inf  # every purge up to then is known; for ever, where nobody says otherwise
@@ -238,48 +192,16 @@
         out += [i.Tell(n, n in ill) for n in sorted(ill ^ self.told) if n in self.stores]
         self.told = ill
 
-    # -- popularity ---------------------------------------------------------------------------
-
-    def _count(self, r: i.Request) -> None:
-        """Counts first parts only, so that an object weighs the same however many parts it has."""
-        if self.now - self.halved >= HALVE_MS:
-            self.halved = self.now
-            self.counts = {k: n / 2 for k, n in self.counts.items() if n > 0.5}
-        if self.s.classes[r.cls].uncached:
-            return
-        self.known += KNOWN_STEP * ((r.key in self.counts) - self.known)
-        if r.part == 0:
-            if r.key not in self.counts and len(self.counts) >= COUNTS:
-                for low in nsmallest(COUNTS // 16, self.counts, key=self.counts.__getitem__):
-                    del self.counts[low]  # many at a time, so that the search is rare
-            self.counts[r.key] = self.counts.get(r.key, 0.0) + 1
-        if self.now - self.ranked >= GOLD_EVERY_MS:
-            self.ranked = self.now
-            best = nlargest(GOLD, self.counts, key=self.counts.__getitem__)
-            self.gold = {k: self.gold.get(k, 0) for k in best if self.counts[k] >= GOLD_FROM}
-
-    def _tier(self, key: str) -> int:
-        """The rank at which copies of an object are kept.
-
-        An unseen object is bronze as surely as counts know what is asked for: one of many proxies, or
-        one just started, has seen little, and what is new to it is mostly not rare.
-        """
-        if key in self.gold or self._wide(key) > 1:
-            return GOLD_RANK
-        if self.counts.get(key, 0.0) >= KEPT_FROM or self.random.random() >= self.known:
-            return SILVER_RANK
-        return UNKEPT
-
     # -- placement ----------------------------------------------------------------------------
 
-    def _ranking(self, role: list[_Store], *words: object) -> list[_Store]:
+    def _ranking(self, role: list[StoreState], *words: object) -> list[StoreState]:
         """Rendezvous hashing of a role's stores, by weight where weights mean something; remembered."""
         name = (role is self.parents, *words)
         if name in self.ranked_for:
             self.ranked_for.move_to_end(name)
             return self.ranked_for[name]
 
-        def height(s: _Store) -> float:
+        def height(s: StoreState) -> float:
             return s.share * self._weight(s) / -math.log(_digest(s.m.store, *words))
 
         ranked = self.ranked_for[name] = sorted(role, key=height, reverse=True)
@@ -287,10 +209,10 @@
             self.ranked_for.popitem(last=False)
         return ranked
 
-    def _weight(self, s: _Store) -> float:
+    def _weight(self, s: StoreState) -> float:
         return s.m.weight if self.s.weights in (i.Weights.NOMINAL, i.Weights.ROUGH) else 1.0
 
-    def _homes(self, job: _Job) -> list[_Store]:
+    def _homes(self, job: _Job) -> list[StoreState]:
         """Caches for a request, the one to take first: the homes of its object, then by its part.
 
         A crowded home (a hot object, a slow or stuck cache) passes requests on by a hash of the part, so
@@ -299,9 +221,9 @@
         r = job.r
         well = self._well(self._ranking(self.caches, r.key))
         wide, turn = self._wide(r.key), 0
-        if r.key in self.gold:
+        if r.key in self.popularity.gold:
             wide = max(wide, 3 if len(self.caches) >= WIDE_FROM else 2)
-            turn = self.gold[r.key] = self.gold[r.key] + 1
+            turn = self.popularity.next_turn(r.key)
         elif wide > 1:
             turn = self.random.randrange(wide)  # each proxy sees too little of it to count turns
         if job.c.parts:
@@ -329,7 +251,7 @@
                 s.share = share
                 self.ranked_for.clear()
 
-    def _sources(self, job: _Job) -> list[_Store]:
+    def _sources(self, job: _Job) -> list[StoreState]:
         """Where a miss may be filled from: parents that are reached, by the hash, then the origin."""
         well = self._well(self._ranking(self.parents, job.r.key))
         fit = [s for s in well if self._affordable(s, job) and not (s.lost and s.until > self.now)]
@@ -337,7 +259,7 @@
 
     # -- health and load ----------------------------------------------------------------------
 
-    def _well(self, stores: list[_Store]) -> list[_Store]:
+    def _well(self, stores: list[StoreState]) -> list[StoreState]:
         """Those not resting. Guards against a server that hangs, errs or cannot be reached.
 
         A store rests only while another is clearly better: trouble that all share (a full link, a
@@ -404,7 +326,7 @@
         elif o.note is i.Note.NONE and o.code in UNCLEAR and not flight.late:
             self._blame(flight)
 
-    def _learn(self, store: _Store, report: object) -> None:
+    def _learn(self, store: StoreState, report: object) -> None:
         if isinstance(report, dict) and "inflight" in report:
             step = self._step(store.told)
             store.others += step * (float(report["inflight"]) - store.out - store.others)  # below 0 by lag
@@ -437,7 +359,7 @@
             self.filled_at = self.now
 
     @staticmethod
-    def _worse(s: _Store | None, peers: list[_Store]) -> bool:
+    def _worse(s: StoreState | None, peers: list[StoreState]) -> bool:
         """Whether a store is sick and clearly worse than the best of its peers: the trouble is its own.
 
         Where other proxies name it silent, less of the own evidence will do; without any they are not heeded.
@@ -465,15 +387,15 @@
         bound *= AGAIN if job.r.again else 1.0
         return self.now - self.link_told < REPORT_MS and self.link > max(bound, JAM_LEAST)
 
-    def _capacity(self, s: _Store) -> float:
+    def _capacity(self, s: StoreState) -> float:
         """Transfers that a store can send at full pace at this moment."""
         return max(self.unit * self._weight(s) * self._warmth(s), 0.01)
 
-    def _load(self, s: _Store) -> float:
+    def _load(self, s: StoreState) -> float:
         """Requests held that keep a store busy, over its capacity; those that wait for fills do not."""
         return self._held(s) * s.busy
 
-    def _held(self, s: _Store) -> float:
+    def _held(self, s: StoreState) -> float:
         """Requests held over capacity; a cache not heard of lately is taken to be as full as its peers."""
         proxies, capacity = self._sharers(s), self._capacity(s)
         if proxies == 1 or self.now - s.told < REPORT_MS:
@@ -501,63 +423,22 @@
 
     # -- cold budgets -------------------------------------------------------------------------
 
-    def _cold(self, s: _Store) -> tuple[float, float, float]:
-        if s.m.kind == self.s.parent_kind:
-            return self.s.parent_cold_from, self.s.parent_cold_ms, self.s.parent_fall_multiple
-        return self.s.cold_from, self.s.cold_ms, self.s.fall_multiple
-
-    def _warmth(self, s: _Store) -> float:
-        """The part of its capacity that a store surely has."""
-        first, length, _ = self._cold(s)
-        age = self.now - s.m.started_ms
-        if s.m.started_ms <= 0 or age >= length or s.m.kind == self.s.origin_kind:
-            return 1.0
-        return first + (1.0 - first) * max(age, 0.0) / length
-
-    def _sharers(self, s: _Store) -> int:
-        if s.m.kind == self.s.parent_kind:
-            return self.s.proxies
-        shares = self.s.zone_proxies
-        return max(1, shares[self.s.zone] if self.s.zone < len(shares) else self.s.proxies)
-
-    def _share(self, s: _Store) -> float:
-        """This proxy's share of what a cold store bears in any window, in ms of sending."""
-        return BUDGET_SHARE * self._cold(s)[2] * self._capacity(s) * self.s.fall_ms / self._sharers(s)
-
-    def _gap(self, s: _Store, cost: float) -> float:
-        """Time between two sends of one proxy of many, so that all together, with chance, keep the budget."""
-        most = self._share(s) * self._sharers(s) / cost
-        mean = most + CHANCE**2 / 2 - CHANCE * math.sqrt(most + CHANCE**2 / 4)
-        return self.s.fall_ms * self._sharers(s) / max(mean, 0.01)
-
-    def _affordable(self, s: _Store, job: _Job) -> bool:
-        """Whether a cold store stays within what it bears from all proxies together.
-
-        A share of whole requests is an exact budget for each window; a large one has it alone, as by the rule
-        each counts with its class's mean. Among so many proxies that a share is less than one request, each
-        sends one now and then, from a start drawn by chance.
-        """
-        if self._warmth(s) >= 1.0:
-            s.spent.clear()
-            s.total, s.free_at = 0.0, -math.inf
-            return True
-        while s.spent and s.spent[0][0] < self.now - self.s.fall_ms:
-            s.total -= s.spent.popleft()[1]
-        cost, share = self._work(job, whole=True), self._share(s)
-        if max(self._mean(c) for c in range(len(self.s.classes))) <= share:
-            # A life before this one may have spent the share.
-            return self.now >= self.began + self.s.fall_ms and (not s.spent or s.total + cost <= share)
-        if s.free_at == -math.inf:
-            s.free_at = self.now + self.random.random() * self._gap(s, cost)
-        return self.now >= s.free_at
-
-    def _spend(self, s: _Store, job: _Job, at: float) -> None:
-        """Counts a request where it may reach the store at the latest: others may wait for the same dial."""
-        if self._warmth(s) < 1.0:
-            cost = self._work(job, whole=True)
-            s.spent.append((at, cost))
-            s.total += cost
-            s.free_at = at + self._gap(s, cost)
+    def _warmth(self, s: StoreState) -> float:
+        return self.cold.warmth(s, self.now)
+
+    def _sharers(self, s: StoreState) -> int:
+        return self.cold.sharers(s)
+
+    def _share(self, s: StoreState) -> float:
+        return self.cold.share(s, self._capacity(s))
+
+    def _affordable(self, s: StoreState, job: _Job) -> bool:
+        cost = self._work(job, whole=True)
+        largest_mean = max(self._mean(c) for c in range(len(self.s.classes)))
+        return self.cold.allows(s, self._capacity(s), cost, largest_mean, self.now)
+
+    def _spend(self, s: StoreState, job: _Job, at: float) -> None:
+        self.cold.spend(s, self._capacity(s), self._work(job, whole=True), at, self.now)
 
     # -- members and purges -------------------------------------------------------------------
 
@@ -575,7 +456,7 @@
             if m.phase is i.Phase.GONE:
                 self.stores.pop(m.store, None)
             elif known is None or known.m.started_ms != m.started_ms:
-                self.stores[m.store] = _Store(m)
+                self.stores[m.store] = StoreState(m)
                 if known:
                     self.stores[m.store].out, self.stores[m.store].lent = known.out, known.lent
             else:
@@ -603,8 +484,10 @@
 
     def _arrive(self, r: i.Request, out: list[i.Action]) -> None:
         job = self.jobs[r.id] = _Job(r, self.s.classes[r.cls], self.now)
-        self._count(r)
-        job.tier = self._tier(r.key)
+        self.popularity.age(self.now)
+        if not job.c.uncached:
+            self.popularity.count(r.key, r.part == 0, self.now)
+        job.tier = self.popularity.rank(r.key, hot=self._wide(r.key) > 1)
         if r.size_kb and self.s.pace_kb_per_s:
             self._size(r.cls, self._work(job))
         if self._own(job, OWN_SHARE * (job.c.target_ms + job.c.stretch * self._work(job))):
@@ -665,7 +548,7 @@
         told = self._work(job) if job.r.size_kb else 0.0
         return max(LEAST_WORK * told, LAST_MS if job.sent else 0.0)
 
-    def _allowed(self, job: _Job, stores: list[_Store]) -> list[_Store]:
+    def _allowed(self, job: _Job, stores: list[StoreState]) -> list[StoreState]:
         """Where a keyed request that may have run may still go: stores that drop its repeat."""
         ran = job.ran
         if ran is None or job.c.effect is not i.Effect.KEYED:
@@ -678,7 +561,7 @@
             return [s for s in stores if s.m.cell == ran.cell]
         return stores
 
-    def _go(self, job: _Job, store: _Store, source: _Store | None, out: list[i.Action]) -> None:
+    def _go(self, job: _Job, store: StoreState, source: StoreState | None, out: list[i.Action]) -> None:
         r, left = job.r, max(job.deadline - self.now, 0.0)
         last = job.c.effect is i.Effect.UNSAFE or job.sent + 1 >= self.s.most_attempts
         timeout = left if last or job.sent else FIRST_SHARE * left
--- a/tests/test_cold_sum.py
+++ b/tests/test_cold_sum.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from starlinghaven.decisions.cold import ColdBudgets
 from starlinghaven.lab import cold
 from starlinghaven.lab.cold import Counted, Plan, run
 from starlinghaven.router import Router
@@ -50,7 +51,7 @@
 
 
 def test_the_count_tells_processes_that_spend_the_shares_of_others(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(Router, "_sharers", lambda self, s: max(self.s.proxies // 3, 1))
+    monkeypatch.setattr(ColdBudgets, "sharers", lambda self, _: max(self._settings.proxies // 3, 1))
     assert any(c.windows_over for c in counted(20, "cache") + counted(30, "parent"))
 
 
@@ -62,7 +63,7 @@
 
     def forgets(self: Router, *given: object) -> None:
         usual(self, *given)  # type: ignore[arg-type]
-        self.began = float("-inf")
+        self.cold._began = float("-inf")
 
     plans = [Plan(3, seed, again=1.0, weight=40.0, calls_per_s=1_000.0) for seed in range(4)]
     assert not any(run(plan).windows_over for plan in plans)
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -17,7 +17,9 @@
     for name in DEPLOY["policy"] + DEPLOY["node"]:
         assert (ROOT / name).exists(), name
     layers = {p.name for p in (ROOT / "starlinghaven").iterdir() if (p / "__init__.py").exists()}
-    assert {Path(n).name for n in DEPLOY["node"]} >= layers - {"plugin", "standins", "lab"}
+    assert {Path(n).name for n in DEPLOY["node"]} >= layers - {"plugin", "standins", "lab", "decisions"}
+    decisions = {p.name for p in (ROOT / "starlinghaven" / "decisions").glob("*.py")} - {"__init__.py"}
+    assert {Path(n).name for n in DEPLOY["policy"]} >= decisions
 
 
 def test_both_commands_start_the_modules_that_are_there(tmp_path: Path) -> None:
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -6,6 +6,7 @@
 from dataclasses import replace
 
 from starlinghaven import router as module
+from starlinghaven.decisions import stores
 from starlinghaven.interface import (
     Action,
     Cancel,
@@ -108,7 +109,7 @@
     for store in d.router.stores.values():
         for _ in range(5 if store.m.store == "cache-0" else 3):
             store.failed(module.SLIGHT * 2, d.now)
-    assert d.router.stores["cache-0"].bad >= module.SICK
+    assert d.router.stores["cache-0"].bad >= stores.SICK
     assert all(d.get(d.ask(key)).store == home for key, home in homes.items())
 
 
@@ -151,7 +152,7 @@
     d = Driver()
     late_fills(d)
     for name in ("parent-0", "parent-1"):
-        d.router.stores[name].failed(module.SICK / 2, d.now)
+        d.router.stores[name].failed(stores.SICK / 2, d.now)
     got = d.get(d.ask("x", cls=PAGE))
     assert d.end(code=Code.MISS, store=got.store) == [Refuse(d.next_id, 1000)]
 
@@ -395,7 +396,7 @@
             d.end(store=got.store)
     d.now += 3000.0
     d.say(Timer(0))
-    assert d.router.stores["cache-0"].bad > module.SICK
+    assert d.router.stores["cache-0"].bad > stores.SICK
     for n in range(40):
         got = d.get(d.ask(f"f{n:x}"))
         assert got.source != got.store, "fills go on"
@@ -410,7 +411,7 @@
     sick, other = d.router.stores["parent-0"], d.router.stores["parent-1"]
     sick.failed(0.6, d.now)
     other.failed(0.3, d.now)
-    assert module.SICK <= sick.bad < 0.8 and other.bad > module.WELL
+    assert stores.SICK <= sick.bad < 0.8 and other.bad > module.WELL
     assert {d.get(d.ask(f"new-{n}")).source for n in range(20)} == {"parent-1"}
 
 
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -6,6 +6,7 @@
 from dataclasses import replace
 
 from starlinghaven import router as module
+from starlinghaven.decisions import popularity
 from starlinghaven.interface import Get, ListKind, Member, Members, Phase, Send
 from tests.helpers import FLEET, PAGE, PAY, Driver, cache, drained, parent
 
@@ -14,14 +15,14 @@
     """Enough counted requests that the router trusts its counts."""
     for n in range(1000):
         d.serve(f"warm-{n % 40}", cls=PAGE)
-    d.now += module.GOLD_EVERY_MS
+    d.now += popularity.GOLD_EVERY_MS
 
 
 def test_unseen_objects_are_silver_until_counts_know_what_is_asked_for() -> None:
     d = Driver()
-    assert d.serve("new").keep == module.SILVER_RANK
+    assert d.serve("new").keep == popularity.SILVER_RANK
     warm_up(d)
-    assert d.serve("newer").keep == module.UNKEPT
+    assert d.serve("newer").keep == popularity.UNKEPT
 
 
 def test_tiers_follow_counts() -> None:
@@ -31,32 +32,32 @@
         d.serve("hot")
         if n % 20 == 0:
             d.serve("tepid")
-    d.now += module.GOLD_EVERY_MS
-    assert d.serve("hot").keep == module.GOLD_RANK
-    assert d.serve("tepid").keep == module.SILVER_RANK
-    assert d.serve("once").keep == module.UNKEPT
+    d.now += popularity.GOLD_EVERY_MS
+    assert d.serve("hot").keep == popularity.GOLD_RANK
+    assert d.serve("tepid").keep == popularity.SILVER_RANK
+    assert d.serve("once").keep == popularity.UNKEPT
 
 
 def test_only_first_parts_count_and_later_parts_follow() -> None:
     d = Driver()
     warm_up(d)
     ranks = [d.serve("long", part=part).keep for part in range(1, 9)]
-    assert ranks.count(module.UNKEPT) >= 6, "a few are kept, as surely as counts know little"
+    assert ranks.count(popularity.UNKEPT) >= 6, "a few are kept, as surely as counts know little"
     d.serve("long"), d.serve("long")
-    assert d.serve("long", part=5).keep == module.SILVER_RANK
+    assert d.serve("long", part=5).keep == popularity.SILVER_RANK
 
 
 def test_counts_are_halved_and_bounded() -> None:
     d = Driver()
     for _ in range(4):
         d.serve("a")
-    d.now += module.HALVE_MS
+    d.now += popularity.HALVE_MS
     d.serve("b")
-    assert d.router.counts["a"] == 2
-    for n in range(module.COUNTS + 50):
+    assert d.router.popularity.counts["a"] == 2
+    for n in range(popularity.COUNTS + 50):
         d.serve(f"n-{n}")
-    assert len(d.router.counts) <= module.COUNTS
-    assert "a" in d.router.counts, "the lowest count is dropped, not a higher one"
+    assert len(d.router.popularity.counts) <= popularity.COUNTS
+    assert "a" in d.router.popularity.counts, "the lowest count is dropped, not a higher one"
 
 
 def test_proxies_agree_on_an_objects_cache_and_parent() -> None:
@@ -78,7 +79,7 @@
         d = Driver(fleet=fleet)
         for _ in range(6):
             d.serve("hot")
-        d.now += module.GOLD_EVERY_MS
+        d.now += popularity.GOLD_EVERY_MS
         d.serve("hot")
         assert len({d.serve("hot", cls=PAGE).store for _ in range(12)}) == homes
         by_part = [d.serve("hot", part=part).store for part in range(6)] * 2
@@ -108,7 +109,7 @@
     assert d.ask("p", cls=PAY) == [Send(1, "origin", 3000.0)]
     d = Driver(direct=False)
     (sent,) = d.ask("p", cls=PAY)
-    assert isinstance(sent, Get) and sent.source == "origin" and sent.keep == module.UNKEPT
+    assert isinstance(sent, Get) and sent.source == "origin" and sent.keep == popularity.UNKEPT
 
 
 def plain_home(key: str, stores: list[Member]) -> str:
@@ -132,4 +133,4 @@
             assert got.source == plain_home(f"o-{n}", parents[drop:])
         gone = (replace(caches[drop], phase=Phase.GONE), drained(parents[drop]))
         d.say(Members(ListKind.PARTIAL, gone))
-    assert len(d.router.ranked_for) <= module.COUNTS
+    assert len(d.router.ranked_for) <= popularity.COUNTS
