--- a/starlinghaven/program/clients.py
+++ b/starlinghaven/program/clients.py
@@ -5,8 +5,9 @@
 import logging
 import math
 import time
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Callable
+from enum import StrEnum
 from typing import Protocol
 
 import trio
@@ -23,6 +24,15 @@
 SWEEP_S = 0.25  # seconds between two looks for connections whose time is over
 
 
+class CloseReason(StrEnum):
+    """Why a connection was closed in order."""
+
+    IDLE = "idle"  # its time without anything owed on it was over
+    ROOM = "room"  # another one waited for its place
+    ENDING = "ending"  # the program ends, or gives its clients to a successor
+    TAGS = "tags"  # too many used tags had to be kept
+
+
 class ClientLink(Protocol):
     """One client's connection, as a front speaks on it."""
 
@@ -58,6 +68,7 @@
         self._links: set[ClientLink] = set()
         self._rested: deque[ClientLink] = deque()  # to be closed first where there is no room
         self._ordered_at = -math.inf  # when they were found
+        self.closed: Counter[CloseReason] = Counter()  # connections closed in order
         self._nursery: trio.Nursery | None = None
 
     async def run(self) -> None:
@@ -69,7 +80,7 @@
                 now = time.monotonic()
                 for link in self._idle():
                     if link.ends_at < now:
-                        self.close(link)
+                        self.close(link, CloseReason.IDLE)
 
     @property
     def nursery(self) -> trio.Nursery:
@@ -81,7 +92,7 @@
     def all(self) -> list[ClientLink]:
         return list(self._links)
 
-    def close(self, link: ClientLink) -> bool:
+    def close(self, link: ClientLink, reason: CloseReason) -> bool:
         """The one place where a client's connection is closed in order; whether it is.
 
         Guards requests on their way: one that has been read or waits to be read keeps its connection.
@@ -90,6 +101,7 @@
         if link.busy or link.connection.pending and not link.amid:
             return False
         link.connection.finish()
+        self.closed[reason] += 1
         return True
 
     async def retire(self) -> None:
@@ -98,7 +110,7 @@
         while self._links:
             for link in self._idle():
                 if not link.amid:
-                    self.close(link)
+                    self.close(link, CloseReason.ENDING)
             await trio.sleep(RETIRE_S)
 
     def stop(self) -> None:
@@ -132,10 +144,10 @@
             idle, self._ordered_at = sorted(self._idle(), key=lambda p: p.ends_at), now
             self._rested = deque(p for p in idle if p.rests_since < before)
             if not self._rested:
-                return any(self.close(p) for p in idle)
+                return any(self.close(p, CloseReason.ROOM) for p in idle)
         while self._rested:
             link = self._rested.popleft()
-            if self._is_idle(link) and link.rests_since < before and self.close(link):
+            if self._is_idle(link) and link.rests_since < before and self.close(link, CloseReason.ROOM):
                 return True
         return False
 
--- a/starlinghaven/program/daemon.py
+++ b/starlinghaven/program/daemon.py
@@ -8,13 +8,14 @@
 import secrets
 import signal
 import sys
+from collections import Counter
 from collections.abc import AsyncIterator
 from typing import TYPE_CHECKING
 
 import trio
 
 from starlinghaven.program import config, logs, operator, relay
-from starlinghaven.program.clients import Clients
+from starlinghaven.program.clients import Clients, CloseReason
 from starlinghaven.program.console import PLACES, Console
 from starlinghaven.program.core import Core
 from starlinghaven.program.handover import Handover
@@ -115,6 +116,11 @@
         """Connections of all fronts; operators' ones are not among them."""
         return [self.front.clients, *(server.clients for server in self.servers)]
 
+    def _closed(self) -> str:
+        """Connections of all fronts that were closed in order, by reason."""
+        total = sum((clients.closed for clients in self._clients), Counter[CloseReason]())
+        return " ".join(f"closed_{reason}={n}" for reason, n in sorted(total.items()))
+
     def _listener(self, address: str, most: int) -> Listener:
         """One of an operator's addresses: both processes of an upgrade listen there for a while."""
         return Listener(address, self.core.memory, most, shared=self.core.cfg.passed is not None)
@@ -164,14 +170,14 @@
                 if self.fleet:
                     self.fleet.leave()
                 nursery.cancel_scope.cancel()
-        log.info("counters %s", self.counters.line())
+        log.info("counters %s %s", self.counters.line(), self._closed())
         log.info("stopped")
 
     async def _signalled(self, signals: AsyncIterator[int], terminate: trio.Event) -> None:
         """Takes signals to the end: one that comes again while draining must not end it unordered."""
         async for number in signals:
             if number == signal.SIGUSR1:
-                log.info("counters %s", self.counters.line())
+                log.info("counters %s %s", self.counters.line(), self._closed())
             elif terminate.is_set():
                 self.counters.add("signals_passed_over")
                 log.info("signal %d passed over: draining already", number)
--- a/starlinghaven/program/platform.py
+++ b/starlinghaven/program/platform.py
@@ -12,7 +12,7 @@
 import trio
 
 from starlinghaven import interface as i
-from starlinghaven.program.clients import Clients
+from starlinghaven.program.clients import Clients, CloseReason
 from starlinghaven.protocol import ProtocolError, handover, platform
 from starlinghaven.routing.engine import Engine
 from starlinghaven.routing.types import Answer, Ask, Counters, Left, Result, Taken
@@ -244,7 +244,7 @@
         self._answered_at = time.monotonic()
         self.ends_at = max(self.ends_at, time.monotonic() + (WHOLE_S if self.amid else IDLE_S))
         if len(self._used) >= TAGS_APART:
-            self._front.clients.close(self)
+            self._front.clients.close(self, CloseReason.TAGS)
 
     @property
     def busy(self) -> bool:
--- a/starlinghaven/routing/engine.py
+++ b/starlinghaven/routing/engine.py
@@ -44,6 +44,7 @@
 )
 
 log = logging.getLogger(__name__)
+request_log = logging.getLogger("starlinghaven.requests")
 
 TURN_S = 0.1  # seconds between two turns at most: a longer one shows that the process stood still
 MOST_NEWS = 1024  # events of the change log that may wait
@@ -55,6 +56,7 @@
 UNSERVED_STEP, UNSERVED_MS = 0.02, 5_000.0  # weight of one answer, and ms over which it is forgotten
 NOTES = {note.value: note for note in i.Note}
 TELLS_NOTHING = frozenset({i.Code.MISS, i.Code.MOOT, i.Code.CANCELLED})  # of the cache that was asked
+OLD_NEWS_MS = 3_000.0  # ms without proof of the log, from which what is served on it is logged
 STALL_MS = 50.0  # ms that an event or a timer waited, from which fronts and stores are read before it counts
 TURNS = 3  # turns of the loop in which they are: one for the wait, one for the reading, one to spare
 
@@ -388,11 +390,22 @@
             self._finish(number, Answer(Result.REFUSED, wait_ms=self._settings.pushback_ms))
             return
         self.counters.add("own_copies")
+        self._note_old_news(request.ask, copy)
         unchanged = bool(request.ask.have) and request.ask.have == copy.tag
         self._copies.sent(len(copy.body), unchanged)
         result, body = (Result.UNCHANGED, b"") if unchanged else (Result.SERVED, copy.body)
         self._finish(number, Answer(result, body, tag=copy.tag))
 
+    def _note_old_news(self, ask: Ask, copy: Copy) -> None:
+        """Logs a copy that is served while the change log has not been heard for longer than usual."""
+        now = self.clock.now()
+        news_age_ms = now - self._lease.current_to_ms
+        if self._lease.required and news_age_ms > OLD_NEWS_MS:
+            request_log.info(
+                "request %s served from own copy object=%s age_s=%.1f news_age_s=%.1f",
+                *(ask.id, ask.key, (now - copy.given_ms) / 1000, news_age_ms / 1000),
+            )
+
     def _left(self, ticket: Ticket) -> None:
         number = self._numbers.get(ticket)
         if number is not None:  # else its answer crossed the client's leaving
@@ -537,6 +550,13 @@
             attempt.source, attempt.keep, attempt.age_ms = order.source, order.keep, order.age_ms
             attempt.join, attempt.renew = order.join, order.renew
         request.attempts.append(attempt)
+        if attempt.number:
+            last = request.last.name.lower() if request.last else "out"
+            self.counters.add(f"retried_after_{last}")
+            request_log.info(
+                "request %s attempt=%d store=%s source=%s after %s", request.ask.id, attempt.number,
+                attempt.store, attempt.source or "-", last,
+            )  # fmt: skip
         self._attempts[order.request, attempt.number] = attempt
         self.counters.add("sent")
         if attempt.number >= self._settings.most_attempts or not self._still_fits(attempt):
@@ -585,8 +605,18 @@
             answer = Answer(Result.REFUSED, wait_ms=action.wait_ms, late=late, lacking=request.lacking)
         else:
             answer = Answer(Result.FAILED, late=late, lacking=request.lacking)
+        self._note_unserved(request, answer)
         self._finish(action.request, answer)
 
+    def _note_unserved(self, request: _Open, answer: Answer) -> None:
+        last = request.last.name.lower() if request.last else "none"
+        now = self.clock.now()
+        request_log.info(
+            "request %s %s class=%d attempts=%d last=%s after_ms=%.0f left_ms=%.0f open=%d",
+            *(request.ask.id, answer.result.name.lower(), request.ask.cls, len(request.attempts), last),
+            *(now - request.ask.taken_ms, request.deadline - now, len(self._open)),
+        )
+
     def _listed(self, news: FleetNews) -> None:
         before = set(self._stores)
         if news.kind is not i.ListKind.PARTIAL:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -21,7 +21,7 @@
 
 from starlinghaven import interface as i
 from starlinghaven.program import clients as clients_module
-from starlinghaven.program.clients import ClientLink, Clients
+from starlinghaven.program.clients import ClientLink, Clients, CloseReason
 from starlinghaven.protocol.resp import encode
 from starlinghaven.routing.engine import Engine
 from starlinghaven.routing.types import Ask, Ended, FleetNews, Taken
@@ -108,7 +108,7 @@
             freed()
 
         link.connection.on_linger = cross
-        assert made.close(link)
+        assert made.close(link, CloseReason.IDLE)
         assert listener.count == 0, "its place is free at once"
         await trio.testing.wait_all_tasks_blocked()
         peer.sendall(b"another")  # the end is there for it to read, and it has not looked
@@ -126,9 +126,9 @@
         peer = dial(listener.port)
         await until(lambda: links)
         peer.sendall(b"a request")  # no task has run since
-        assert not made.close(links[0]) and not made._close_idlest()
+        assert not made.close(links[0], CloseReason.IDLE) and not made._close_idlest()
         await until(lambda: links[0].got == b"a request")
-        assert made.close(links[0])
+        assert made.close(links[0], CloseReason.IDLE)
         assert await read_all(peer) == b"a request", "echoed"
         peer.close()
 
@@ -197,7 +197,7 @@
         async with clients() as (made, listener, links):
             peer = dial(listener.port)
             await until(lambda: links)
-            assert made.close(links[0])
+            assert made.close(links[0], CloseReason.IDLE)
             peer.setblocking(False)
             stream = trio.socket.from_stdlib_socket(peer)
             with pytest.raises(OSError):
