Save a call by hand once the folder takes it, and leave no drafts behind

What operators saw: a store excluded by hand at one process, answered with yes, and never heard of by its successor, since the folder was full (ENOSPC, EIO) at that moment; each failure also left a draft in the folder, which counts as memory. What could not be saved is tried again each second; drafts are removed; a file that can't be read does not make the next call forget the ones before it. Evidence: test_a_call_by_hand_outlasts_a_full_folder_and_leaves_no_drafts failed before, passes now.

--- a/starlinghaven/program/handover.py
+++ b/starlinghaven/program/handover.py
@@ -19,6 +19,7 @@
 log = logging.getLogger(__name__)
 
 LOOK_S = 0.1  # seconds between two looks for what another process was told by hand
+SAVE_AGAIN_S = 1.0  # seconds between two tries to save what a folder did not take
 KEPT_S = 120.0  # seconds for which a store's return is remembered: it is warm long before
 MOST_PATH = 100  # bytes of a Unix socket's path: the system takes 107
 MOST = 4096  # stores remembered at most
@@ -30,15 +31,18 @@
     def __init__(self, folder: str) -> None:
         self._folder = Path(folder) if folder else None
         self._seen: dict[str, Hand] = {}
+        self._unsaved: list[Hand] = []  # calls that the folder did not take yet
+        self._save_again_at = 0.0
         self._stamp: tuple[int, int] | None = None
 
     def _path(self, name: str) -> Path | None:
         return self._folder / f"starlinghaven-{name}" if self._folder else None
 
-    def _write(self, name: str, text: str) -> None:
-        """Puts a file in place whole: the other process must never read half of it."""
+    def _write(self, name: str, text: str) -> bool:
+        """Puts a file in place whole: the other process must never read half of it. False if it can't."""
         if (path := self._path(name)) is None:
-            return
+            return True
+        draft = ""
         try:
             number, draft = tempfile.mkstemp(dir=path.parent)
             with open(number, "w") as file:
@@ -46,6 +50,10 @@
             os.replace(draft, path)
         except OSError as error:  # a full or missing folder must not end the program
             log.error("nothing can be handed over: %s", error)
+            if draft:
+                Path(draft).unlink(missing_ok=True)
+            return False
+        return True
 
     # -- which process is the newest --------------------------------------------------------------
 
@@ -89,15 +97,26 @@
             return {}
 
     def keep(self, hand: Hand) -> None:
-        """Remembers a call for the other process and for the next one."""
+        """Remembers a call for the other process and for the next one; tries again where it can't yet."""
+        if not self._save(hand):
+            self._unsaved.append(hand)
+            self._save_again_at = trio.current_time() + SAVE_AGAIN_S
+
+    def _save(self, hand: Hand) -> bool:
         old = 1000.0 * (time.time() - KEPT_S)
-        hands = {s: h for s, h in self._read().items() if h.out or h.unix_ms > old}
+        hands = {s: h for s, h in (self._seen | self._read()).items() if h.out or h.unix_ms > old}
         latest = max((h.unix_ms for h in hands.values()), default=-math.inf)
         hand.unix_ms = max(hand.unix_ms, latest + 1.0)  # in order, also where the wall clock steps back
         hands[hand.store] = hand
         recent = sorted(hands.values(), key=lambda h: h.unix_ms)[-MOST:]
         self._seen[hand.store] = hand
-        self._write("hand", json.dumps({h.store: (h.out, h.unix_ms) for h in recent}))
+        return self._write("hand", json.dumps({h.store: (h.out, h.unix_ms) for h in recent}))
+
+    def save_unsaved(self) -> None:
+        """Tries once more to save what the folder did not take."""
+        while self._unsaved and self._save(self._unsaved[0]):
+            del self._unsaved[0]
+        self._save_again_at = trio.current_time() + SAVE_AGAIN_S
 
     def news(self) -> list[Hand]:
         """The calls that another process was told since the last look."""
@@ -115,6 +134,8 @@
 
     async def run(self, engine: Engine) -> None:
         while True:
+            if self._unsaved and trio.current_time() >= self._save_again_at:
+                self.save_unsaved()
             for hand in self.news():
                 await engine.post(hand)
             await trio.sleep(LOOK_S)
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import errno
+import os
 import signal
 import socket
 import subprocess
@@ -64,6 +66,21 @@
     assert not news.out
 
 
+@in_trio
+async def test_a_call_by_hand_outlasts_a_full_folder_and_leaves_no_drafts(tmp_path: Path) -> None:
+    one, other = Handover(str(tmp_path)), Handover(str(tmp_path))
+
+    def full(*_: object) -> None:
+        raise OSError(errno.ENOSPC, "No space left on device")
+
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(os, "replace", full)
+        one.keep(Hand(CACHE, True, 1000.0))
+        assert other.news() == [] and not list(tmp_path.iterdir())
+    one.save_unsaved()
+    assert [hand.out for hand in other.news()] == [True]
+
+
 @in_trio
 async def test_operators_see_figures_and_take_a_store_out_and_back(tmp_path: Path) -> None:
     door = free_port()
