Take a store that could not be reached for just started while no news comes

Where the change log has proved nothing for over 7 s, a store to which no connection came up since then gets a cold budget from that moment, until the log is current again and tells. Evidence: test_without_news_a_store_that_could_not_be_reached_counts_as_just_started failed without it.

--- a/starlinghaven/decisions/cold.py
+++ b/starlinghaven/decisions/cold.py
@@ -6,6 +6,7 @@
 from random import Random
 
 from starlinghaven import interface as i
+from starlinghaven.decisions.purges import COUNTS_AS_KNOWN_MS
 from starlinghaven.decisions.stores import StoreState
 
 BUDGET_SHARE = 0.9  # part of this proxy's share of a cold budget that it spends; the rest is for chance
@@ -20,6 +21,7 @@
 
     def __init__(self, settings: i.Settings, random: Random, now: float) -> None:
         self._settings, self._random, self._began = settings, random, now
+        self.news_at = math.inf  # every start up to then is known; for ever, where nobody says otherwise
 
     def _figures(self, store: StoreState) -> tuple[float, float, float]:
         """The part of its capacity with which a store starts, ms until it is warm, multiple that fells it."""
@@ -31,11 +33,21 @@
     def warmth(self, store: StoreState, now: float) -> float:
         """The part of its capacity that a store surely has."""
         first, length, _ = self._figures(store)
-        age = now - store.m.started_ms
-        if store.m.started_ms <= 0 or age >= length or store.m.kind == self._settings.origin_kind:
+        started = self._started(store, now)
+        age = now - started
+        if started <= 0 or age >= length or store.m.kind == self._settings.origin_kind:
             return 1.0
         return first + (1.0 - first) * max(age, 0.0) / length
 
+    def _started(self, store: StoreState, now: float) -> float:
+        """When a store started at the latest.
+
+        A start counts as known some time after it though nobody hears of it: without news for longer, one
+        that could not be reached since may have started anew.
+        """
+        unheard = now - self.news_at > COUNTS_AS_KNOWN_MS and store.unreached_at > self.news_at
+        return max(store.m.started_ms, store.unreached_at if unheard else 0.0)
+
     def sharers(self, store: StoreState) -> int:
         """The proxies that send to a store."""
         s = self._settings
--- a/starlinghaven/decisions/stores.py
+++ b/starlinghaven/decisions/stores.py
@@ -18,7 +18,7 @@
 
     __slots__ = (
         *("m", "out", "lent", "others", "busy", "hits", "told", "bad", "failed_at", "until", "rest"),
-        *("spent", "total", "free_at", "heard", "named", "share", "up", "lost"),
+        *("spent", "total", "free_at", "heard", "named", "share", "up", "lost", "unreached_at"),
     )
 
     def __init__(self, member: i.Member) -> None:
@@ -32,6 +32,7 @@
         self.named = 0  # other proxies that call it silent, less those that say it serves
         self.up = False  # its last attempt was answered, so a connection to it is up
         self.lost = False  # it could not be reached since it last worked
+        self.unreached_at = -math.inf  # when no connection to it came up last
         self.share = 1.0  # weight in the hash that all proxies together found
         self.spent: deque[tuple[float, float]] = deque()  # cold budget: when and how much
         self.total = 0.0
--- a/starlinghaven/router.py
+++ b/starlinghaven/router.py
@@ -159,7 +159,7 @@
                 name = event.group if event.key is None else event.key
                 self.purges.record(name, self.now - event.age_ms, self.now)
             case i.NewsCurrent():
-                self.news_at = self.now - event.age_ms
+                self.news_at = self.cold.news_at = self.now - event.age_ms
             case i.NewsMissed():
                 self.purges.raise_floor(self.now)
             case i.Streaming():
@@ -319,7 +319,9 @@
                 source.worked(SLIGHT)
         elif o.code in (i.Code.NO_CONNECTION, i.Code.RESET):
             if store:  # a reset may be one lost answer: a store that is down does not take the next one
-                store.failed(GRAVE if o.code is i.Code.NO_CONNECTION else SLIGHT, self.now)
+                unreached = o.code is i.Code.NO_CONNECTION
+                store.failed(GRAVE if unreached else SLIGHT, self.now)
+                store.unreached_at = self.now if unreached else store.unreached_at
         elif o.note in (i.Note.SOURCE_REFUSED, i.Note.SOURCE_UNREACHED):
             if source:
                 source.failed(GRAVE if o.note is i.Note.SOURCE_UNREACHED else SLIGHT, self.now)
--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -138,6 +138,22 @@
     assert Driver.get(d.ask("a2")).age_ms == 0
 
 
+def test_without_news_a_store_that_could_not_be_reached_counts_as_just_started() -> None:
+    d = Driver()
+    d.say(i.NewsCurrent(0.0))
+    d.now += 100
+    got = Driver.get(d.ask("a1"))
+    d.end(code=i.Code.NO_CONNECTION, store=got.store)
+    store = d.router.stores[got.store]
+    assert d.router._warmth(store) == 1.0, "the log would tell"
+    d.now += COUNTS_AS_KNOWN_MS + 100
+    d.say(i.Timer(-5))
+    assert d.router._warmth(store) < 1.0, "nobody told, but it counts as known"
+    assert all(d.router._warmth(s) == 1.0 for s in d.router.caches if s is not store)
+    d.say(i.NewsCurrent(0.0))
+    assert d.router._warmth(store) == 1.0, "the log is current again and tells of no start"
+
+
 def proxy() -> tuple[Engine, Time, Stores]:
     time, stores = Time(), Stores()
     copies = Copies(64_000, 50_000.0, 200_000.0, time.clock(), CLEARED_MS)
