--- a/starlinghaven/__main__.py
+++ b/starlinghaven/__main__.py
@@ -1,6 +1,9 @@
 """python -m starlinghaven: one edge proxy."""
 
-from starlinghaven.program.daemon import main
+from starlinghaven.program.signals import hold
 
 if __name__ == "__main__":
+    hold()  # before anything else is loaded
+    from starlinghaven.program.daemon import main
+
     raise SystemExit(main())
--- a/starlinghaven/lab/soak/stage.py
+++ b/starlinghaven/lab/soak/stage.py
@@ -10,6 +10,7 @@
 import subprocess
 import sys
 import time
+import tomllib
 from collections.abc import Sequence
 from pathlib import Path
 from random import Random
@@ -41,6 +42,12 @@
 SIGNALS = (signal.SIGUSR1, signal.SIGHUP, signal.SIGHUP, signal.SIGUSR1, signal.SIGHUP)
 
 
+def run_command(program: Path) -> str:
+    """`run` of a tree's deploy file, with this interpreter in place of the one that `build` makes."""
+    deploy = tomllib.loads((program / "deploy" / "balancer.toml").read_text())
+    return str(deploy["run"]).replace(".venv/bin/python", sys.executable)
+
+
 class Proxy:
     """One process of the program with a change log endpoint of its own."""
 
@@ -62,10 +69,14 @@
     """The processes, their surroundings and the history of one soak."""
 
     def __init__(
-        self, plan: Plan, out: Path, program: Path = ROOT, command: Sequence[str] = ("-m", "starlinghaven")
+        self, plan: Plan, out: Path, program: Path = ROOT, command: Sequence[str] | None = None
     ) -> None:
-        """`out` gets logs and history; `command` is started by the interpreter in the tree `program`."""
-        self.plan, self.out, self._program, self._command = plan, out, program, command
+        """`out` gets logs and history; `program` is the tree of which `run` in its deploy file is started.
+
+        `command` takes its place, as arguments of the interpreter.
+        """
+        self.plan, self.out, self._program = plan, out, program
+        self._command = [sys.executable, *command] if command else ["/bin/sh", "-c", run_command(program)]
         self.history = History()
         self._random = Random(plan.seed + 1)
         self._port = free_port()
@@ -178,7 +189,7 @@
         started = trio.current_time()
         with log_path.open("w") as sink:
             proxy.process = await trio.lowlevel.open_process(
-                [sys.executable, *self._command],
+                self._command,
                 cwd=self._program,
                 env=os.environ | {"LB_CONFIG": str(path)},
                 stderr=sink,
--- a/starlinghaven/program/daemon.py
+++ b/starlinghaven/program/daemon.py
@@ -20,6 +20,7 @@
 from starlinghaven.program.core import Core
 from starlinghaven.program.handover import Handover
 from starlinghaven.program.platform import PlatformFront
+from starlinghaven.program.signals import held
 from starlinghaven.protocol import platform
 from starlinghaven.transport.listener import LINGERING, Listener
 
@@ -175,16 +176,21 @@
 
     async def _signalled(self, signals: AsyncIterator[int], terminate: trio.Event) -> None:
         """Takes signals to the end: one that comes again while draining must not end it unordered."""
+        for number in held():
+            await self._act_on(number, terminate)
         async for number in signals:
-            if number == signal.SIGUSR1:
-                log.info("counters %s %s", self.counters.line(), self._closed())
-            elif terminate.is_set():
-                self.counters.add("signals_passed_over")
-                log.info("signal %d passed over: draining already", number)
-            elif number == signal.SIGHUP:
-                await self._reload()
-            else:
-                terminate.set()
+            await self._act_on(number, terminate)
+
+    async def _act_on(self, number: int, terminate: trio.Event) -> None:
+        if number == signal.SIGUSR1:
+            log.info("counters %s %s", self.counters.line(), self._closed())
+        elif terminate.is_set():
+            self.counters.add("signals_passed_over")
+            log.info("signal %d passed over: draining already", number)
+        elif number == signal.SIGHUP:
+            await self._reload()
+        else:
+            terminate.set()
 
     async def _reload(self) -> None:
         """Takes the configuration and the keys anew. What can't be used leaves the old in force."""
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -20,11 +20,13 @@
 )
 
 
-def play(folder: Path, commands: Mapping[str, tuple[int, Sequence[str]]]) -> dict[str, dict[str, list[str]]]:
+def play(
+    folder: Path, commands: Mapping[str, tuple[int, Sequence[str] | None]]
+) -> dict[str, dict[str, list[str]]]:
     """What the checkers found in soaks that play side by side, by their names."""
     found: dict[str, dict[str, list[str]]] = {}
 
-    async def one(name: str, seed: int, command: Sequence[str]) -> None:
+    async def one(name: str, seed: int, command: Sequence[str] | None) -> None:
         drawn = plan.draw(seed, SECONDS, PROCESSES, OBJECTS, GROUPS)
         stage = Stage(drawn, folder / name, ROOT, command)
         await stage.run()
@@ -42,7 +44,7 @@
 def test_random_faults_break_no_rule_and_a_program_without_the_lease_serves_stale_copies(
     tmp_path: Path,
 ) -> None:
-    usual = {f"seed {seed}": (seed, ("-m", "starlinghaven")) for seed in SEEDS}
+    usual: dict[str, tuple[int, Sequence[str] | None]] = {f"seed {seed}": (seed, None) for seed in SEEDS}
     found = play(tmp_path, usual | {"without the lease": (SEEDS[0], ("-c", WITHOUT_LEASE))})
     assert "purges_heeded" in found.pop("without the lease")
     assert not any(found.values()), found
