Split the counts of fills and the load of their link out of the Router

decisions/fills.py owns both, and the weight of a load report; the Router asks. Rules, failures, mechanism, layers, lease, deploy, spread router and news tests passed, those of failures and rules after a clash of names in the tests was mended.

--- a/starlinghaven/router.py
+++ b/starlinghaven/router.py
@@ -18,6 +18,7 @@
 
 from starlinghaven import interface as i
 from starlinghaven.decisions.cold import ColdBudgets
+from starlinghaven.decisions.fills import REPORT_MS, FillCounts, FillLink, report_weight
 from starlinghaven.decisions.popularity import COUNTS, UNKEPT, Popularity
 from starlinghaven.decisions.purges import COUNTS_AS_KNOWN_MS, PurgeTable
 from starlinghaven.decisions.stores import FILL_SHARE, GRAVE, SICK, StoreState
@@ -35,16 +36,11 @@
 OWN_SHARE = 0.7  # part of the aim that sending an own copy may take: other transfers share that link
 AGAIN = 0.45  # part of that limit for a client's repeat: it has lost most of its time already
 BUSY = 0.8  # utilisation from which all requests held count as load, below in proportion
-REPORT_MS = 6_000.0  # ms that a load report is believed
-REPORT_STEP = 0.2  # weight of one report at most: each is a noisy moment, and all proxies act on it
-REPORT_TAU_MS = 2_000.0  # ms over which reports are averaged: they lag, and all proxies act on them
 FIRST_UNIT = 8.0  # transfers assumed to fit into a weight of 1 where weights tell nothing
 MEAN_STEP = 0.02  # weight of one answer in the mean sending time of its class
 
 FILL_PACE = 2.0  # times a client's pace at which a fill runs on a free link, at the least
 JAM_LEAST = 2.0  # link load below which fills go on
-FILLS_PER_TIMELY = 2.0  # fills asked for, at most, for each that comes in time
-FILLS_MS = 5_000.0  # ms over which both are counted
 
 # Health.
 SLIGHT = 0.1  # weight of a time-out or error
@@ -129,8 +125,7 @@
         self.spread = i.Spread()  # what all proxies together counted
         self.purges = PurgeTable(TABLE, settings.purge_done_ms + PURGE_MARGIN_MS)
         self.news_at = math.inf  # every purge up to then is known; for ever, where nobody says otherwise
-        self.link, self.link_told = 0.0, -math.inf  # load of the location's link in
-        self.asked, self.timely, self.filled_at = 0.0, 0.0, now  # fills lately, and those in time
+        self.fills, self.link = FillCounts(now), FillLink()
         self.purse = PURSE / 2
         self.wins = WINS  # share of second copies that won, lately
         self.sending = [0.0] * len(settings.classes)  # mean sending time of a class, once seen
@@ -330,21 +325,15 @@
 
     def _learn(self, store: StoreState, report: object) -> None:
         if isinstance(report, dict) and "inflight" in report:
-            step = self._step(store.told)
+            step = report_weight(self.now - store.told)
             store.others += step * (float(report["inflight"]) - store.out - store.others)  # below 0 by lag
             store.told = self.now
         if isinstance(report, dict) and ("hits" in report or "util" in report):
-            step, store.heard = self._step(store.heard), self.now
+            step, store.heard = report_weight(self.now - store.heard), self.now
             store.busy += step * (min(float(report.get("util", 1.0)) / BUSY, 1.0) - store.busy)
             store.hits += step * (float(report.get("hits", 1 - FILL_SHARE)) - store.hits)
         if isinstance(report, dict) and "link" in report and store.m.kind != self.s.parent_kind:
-            self.link += self._step(self.link_told) * (float(report["link"]) - self.link)
-            self.link_told = self.now
-
-    def _step(self, told: float) -> float:
-        """Weight of a report, by the time since the last one."""
-        since = self.now - told
-        return 1.0 if since >= REPORT_MS else min(1.0 - math.exp(-since / REPORT_TAU_MS), REPORT_STEP)
+            self.link.report(float(report["link"]), self.now)
 
     def _filled(self, flight: _Flight, timely: float) -> None:
         """Counts fills, and those in time; where no note tells which were fills, by the share of hits.
@@ -356,9 +345,7 @@
         alone = alone or source in self.parents and self._worse(source, self.parents)
         if store and not alone and flight.source not in ("", flight.store):
             hits = store.hits if self.s.notes is i.Notes.NONE else 0.0
-            fade = math.exp((self.filled_at - self.now) / FILLS_MS)
-            self.asked, self.timely = self.asked * fade + 1 - hits, self.timely * fade + timely - hits
-            self.filled_at = self.now
+            self.fills.count(timely, hits, self.now)
 
     @staticmethod
     def _worse(s: StoreState | None, peers: list[StoreState]) -> bool:
@@ -379,7 +366,7 @@
         would have just made it. Fills go on in proportion to those in time, counted for all sources
         together as one proxy sees few, and a few always: the counts fade, so the trouble's end is seen.
         """
-        if self.random.random() < (self.asked - FILLS_PER_TIMELY * max(self.timely, 0.5)) / (self.asked + 1):
+        if self.random.random() < self.fills.surplus:
             return True
         return self._link_full(job)
 
@@ -387,7 +374,7 @@
         """Whether the location's link is too full for a fill in time: a parent's copy comes over it too."""
         bound = HEADROOM * FILL_PACE * (job.c.target_ms / self._work(job) + job.c.stretch)
         bound *= AGAIN if job.r.again else 1.0
-        return self.now - self.link_told < REPORT_MS and self.link > max(bound, JAM_LEAST)
+        return self.link.over(max(bound, JAM_LEAST), self.now)
 
     def _capacity(self, s: StoreState) -> float:
         """Transfers that a store can send at full pace at this moment."""
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -7,6 +7,7 @@
 
 from starlinghaven import router as module
 from starlinghaven.decisions import stores
+from starlinghaven.decisions.fills import FILLS_MS, REPORT_MS, FillLink
 from starlinghaven.interface import (
     Action,
     Cancel,
@@ -115,21 +116,21 @@
 
 def test_through_a_jammed_link_only_held_copies_are_asked_for() -> None:
     d = Driver()
-    d.router.link, d.router.link_told = 30.0, d.now
+    d.router.link = FillLink(30.0, d.now)
     got = d.get(d.ask("x", cls=PAGE))
     assert got.source == got.store, "no fill"
     assert got.age_ms == CLASSES[PAGE].fresh_ms + CLASSES[PAGE].grace_ms
     assert d.end(code=Code.MISS, store=got.store) == [Refuse(d.next_id, 1000)]
     d.say(Purge(0, 0.0, "x"))
     assert d.get(d.ask("x", cls=PAGE)).age_ms <= 1.0
-    d.now += module.REPORT_MS
+    d.now += REPORT_MS
     got = d.get(d.ask("y"))
     assert got.source != got.store, "an old report of the link is not believed"
 
 
 def late_fills(d: Driver) -> None:
     """Fills that all come late: the late-fill guard then asks the caches only for what they hold."""
-    d.router.asked, d.router.timely = 40.0, 0.0
+    d.router.fills.asked, d.router.fills.timely = 40.0, 0.0
 
 
 def test_after_a_held_only_miss_the_parent_is_asked_for_its_own_copy() -> None:
@@ -146,7 +147,7 @@
 
 def test_no_parent_is_asked_behind_a_jammed_link_or_when_it_is_on_trial() -> None:
     d = Driver()
-    d.router.link, d.router.link_told = 30.0, d.now  # a parent's copy comes over that link too
+    d.router.link = FillLink(30.0, d.now)  # a parent's copy comes over that link too
     got = d.get(d.ask("x", cls=PAGE))
     assert d.end(code=Code.MISS, store=got.store) == [Refuse(d.next_id, 1000)]
     d = Driver()
@@ -185,16 +186,16 @@
                 if isinstance(a, Get):
                     d.say(Outcome(a.request, 0, a.store, Code.CANCELLED, 1500.0, final=True))
         assert 20 < sent < 90
-        d.now += 2 * module.FILLS_MS
+        d.now += 2 * FILLS_MS
         fills(d, range(40), False, note)
         assert fills(d, range(40, 60), False, note) > 15, "suspicion ends by itself"
 
 
 def test_no_request_passes_cold_caches_by_through_a_jammed_link() -> None:
     d = Driver(fleet=(cache(0, started_ms=START, weight=0.1), *FLEET[4:]))
-    d.router.link, d.router.link_told = 30.0, d.now
+    d.router.link = FillLink(30.0, d.now)
     assert isinstance(d.ask("x")[0], Refuse)
-    d.now += module.REPORT_MS
+    d.now += REPORT_MS
     assert d.get(d.ask("x")).store.startswith("parent")
 
 
@@ -421,7 +422,7 @@
     d = Driver(notes=Notes.NONE)
     sick, other = d.router.stores["parent-0"], d.router.stores["parent-1"]
     mine = keys_of(d, "parent-0")
-    asked, timely = d.router.asked, d.router.timely
+    asked, timely = d.router.fills.asked, d.router.fills.timely
     sick.failed(0.7, d.now)
     other.failed(0.3, d.now)
     sick.until = math.inf  # resting: what is still out comes back
@@ -430,7 +431,7 @@
         assert got.source == "parent-1"
         d.router.flights[d.next_id, 0].source = "parent-0"  # an attempt sent before the rest
         d.end(store=got.store, code=Code.FULL, final=False)
-    assert (d.router.asked, d.router.timely) == (asked, timely)
+    assert (d.router.fills.asked, d.router.fills.timely) == (asked, timely)
 
 
 def fill(d: Driver, n: int, note: Note) -> str:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -118,7 +118,7 @@
 def test_a_keyed_request_stays_within_its_group_also_behind_a_cache_that_holds_nothing() -> None:
     """Fills come late, so only held copies are asked for; a parent stands in another zone."""
     d = Driver(classes=keyed(Scope.ZONE))
-    d.router.asked = 40.0
+    d.router.fills.asked = 40.0
     first = d.get(d.ask("k"))
     second = d.get(d.end(0, Code.RESET, store=first.store))
     assert first.source == first.store and second.source == second.store
