--- a/starlinghaven/decisions/stores.py
+++ b/starlinghaven/decisions/stores.py
@@ -17,7 +17,7 @@
     """State of a listed store since its last start. Times are milliseconds."""
 
     __slots__ = (
-        *("m", "out", "lent", "others", "busy", "hits", "told", "bad", "failed_at", "until", "rest"),
+        *("m", "out", "lent", "others", "busy", "hits", "reported_at", "bad", "failed_at", "until", "rest"),
         *("spent", "total", "free_at", "heard", "named", "share", "up", "lost", "unreached_at"),
     )
 
@@ -25,7 +25,7 @@
         self.m = member
         self.out = 0  # own attempts out
         self.lent = 0  # own attempts out elsewhere that name it as source
-        self.others, self.told = 0.0, -math.inf  # requests held for other proxies, and when told
+        self.others, self.reported_at = 0.0, -math.inf  # requests held for other proxies, and when reported
         self.hits, self.heard = 1 - FILL_SHARE, -math.inf  # share of hits, lately, and when reported
         self.busy = 1.0  # share of the requests held that keep it busy, the rest waits for fills
         self.bad, self.failed_at, self.until, self.rest = 0.0, -math.inf, -math.inf, REST_MS
--- a/starlinghaven/lab/rig.py
+++ b/starlinghaven/lab/rig.py
@@ -19,6 +19,7 @@
 
 from starlinghaven.lab.faults import Faults
 from starlinghaven.lab.history import History
+from starlinghaven.lab.lateness import watch_lateness
 from starlinghaven.lab.relays import DatagramRelay, StreamRelay
 from starlinghaven.lab.scenario import Scenario, Step
 from starlinghaven.standins.changelog import DRAINING, ChangeLog
@@ -33,7 +34,6 @@
 STARTS_AT_ONCE = 16  # processes that load at the same time: more only makes each of them slower
 READY_S = 120.0
 AWAITED_S, AWAIT_EVERY_S = 100.0, 0.25  # seconds that a step waits for a state at most, and between two looks
-LAG_EVERY_S, LAG_S = 0.05, 0.1  # seconds between two looks at the lab's own lateness, and what counts as late
 KINDS = {"cache": ("edge-1", "petit"), "parent": ("nord", "parent"), "origin": ("nord", "origin")}
 
 
@@ -128,12 +128,7 @@
             self._save()
 
     async def _watch_lag(self) -> None:
-        """How late the lab itself wakes: checkers must not blame the program for a starved lab."""
-        while True:
-            due = trio.current_time() + LAG_EVERY_S
-            await trio.sleep_until(due)
-            if (late := trio.current_time() - due) > LAG_S:
-                self.history.add("lag", s=round(late, 3))
+        await watch_lateness(self.history)
 
     async def _live(self) -> None:
         started = trio.current_time()
--- a/starlinghaven/lab/soak/clients.py
+++ b/starlinghaven/lab/soak/clients.py
@@ -91,8 +91,8 @@
     def _note_answer(self, asked: Entry, words: list[bytes]) -> None:
         body = words[3].decode() if len(words) > 3 else ""
         since = int(body.rsplit("/", 1)[1]) if body.count("/") == 2 else 0
-        told = {name: asked[name] for name in ("proxy", "n", "key", "group")}
-        self._history.add("answer", **told, word=words[1].decode(), since=since)
+        request = {name: asked[name] for name in ("proxy", "n", "key", "group")}
+        self._history.add("answer", **request, word=words[1].decode(), since=since)
 
 
 async def crowd(address: tuple[str, int], connections: int, seconds: float) -> None:
--- a/starlinghaven/lab/soak/stage.py
+++ b/starlinghaven/lab/soak/stage.py
@@ -19,6 +19,7 @@
 import trio
 
 from starlinghaven.lab.history import History
+from starlinghaven.lab.lateness import watch_lateness
 from starlinghaven.lab.soak.clients import SoakClient, crowd
 from starlinghaven.lab.soak.plan import CROWD, Action, Kind, Plan
 from starlinghaven.lab.soak.stores import GROUPS, SoakTier
@@ -32,7 +33,6 @@
 KILL_AFTER_S = GIVE_UP_MS / 1000 + 0.7  # after SIGTERM, the platform's earliest SIGKILL
 READY_S = 10.0  # that a process may take to be ready
 BACK_S = 0.4  # between a process's end and its next start
-LAG_EVERY_S, LAG_S = 0.05, 0.1  # between two looks at the lab's own lateness, and what counts as late
 STORES = (
     ("s-00000001", "edge-1", "petit"),
     ("s-00000002", "edge-1", "petit"),
@@ -97,7 +97,7 @@
                 self.history.started = time.time()
                 self.history.entries.clear()
                 self._start_clients(nursery)
-                nursery.start_soon(self._watch_lag)
+                nursery.start_soon(watch_lateness, self.history)
                 nursery.start_soon(self._watch_processes)
                 await self._play(nursery)
                 self.history.add("over")
@@ -115,13 +115,6 @@
                 client = SoakClient(proxy.number, (proxy.host, self._port), self.history, random)
                 nursery.start_soon(client.run, self._keys, weights)
 
-    async def _watch_lag(self) -> None:
-        while True:
-            due = trio.current_time() + LAG_EVERY_S
-            await trio.sleep_until(due)
-            if (late := trio.current_time() - due) > LAG_S:
-                self.history.add("lag", s=round(late, 3))
-
     async def _watch_processes(self) -> None:
         while True:
             for proxy in self._proxies:
@@ -151,8 +144,8 @@
             "PolicyLimits": policy,
             "FamilyInfo": family,
         }
-        told = configuration(self._tier, self._port, proxy.endpoint.address)
-        told |= {
+        written = configuration(self._tier, self._port, proxy.endpoint.address)
+        written |= {
             "name": f"n{proxy.number}",
             "listen": f"{proxy.host}:{self._port}",
             "seed": f"{self._random.getrandbits(64):016x}",
@@ -161,10 +154,10 @@
             "link_bytes_per_s": 1_240_000,
             "settings": settings,
         }
-        told["known"] = self._known(told["known"])
+        written["known"] = self._known(written["known"])
         path = self.out / "logs" / f"n{proxy.number}.json"
         draft = path.with_suffix(".draft")
-        draft.write_text(json.dumps(told))
+        draft.write_text(json.dumps(written))
         draft.replace(path)
         return path
 
--- a/starlinghaven/router.py
+++ b/starlinghaven/router.py
@@ -325,9 +325,9 @@
 
     def _learn(self, store: StoreState, report: object) -> None:
         if isinstance(report, dict) and "inflight" in report:
-            step = report_weight(self.now - store.told)
+            step = report_weight(self.now - store.reported_at)
             store.others += step * (float(report["inflight"]) - store.out - store.others)  # below 0 by lag
-            store.told = self.now
+            store.reported_at = self.now
         if isinstance(report, dict) and ("hits" in report or "util" in report):
             step, store.heard = report_weight(self.now - store.heard), self.now
             store.busy += step * (min(float(report.get("util", 1.0)) / BUSY, 1.0) - store.busy)
@@ -387,10 +387,10 @@
     def _held(self, s: StoreState) -> float:
         """Requests held over capacity; a cache not heard of lately is taken to be as full as its peers."""
         proxies, capacity = self._sharers(s), self._capacity(s)
-        if proxies == 1 or self.now - s.told < REPORT_MS:
+        if proxies == 1 or self.now - s.reported_at < REPORT_MS:
             return (s.out + (max(s.others, 0.0) if proxies > 1 else 0.0)) / capacity
         peers = self.caches if s in self.caches else [s]
-        told = [p for p in peers if self.now - p.told < REPORT_MS]
+        told = [p for p in peers if self.now - p.reported_at < REPORT_MS]
         if told:  # the middle one: a cache that reports nonsense must not make all seem full
             others = sorted(max(p.others, 0.0) / self._capacity(p) for p in told)
             return s.out / capacity + others[len(others) // 2]
--- a/starlinghaven/transport/listener.py
+++ b/starlinghaven/transport/listener.py
@@ -104,8 +104,8 @@
     def _shed(self) -> bool:
         """At EMFILE/ENFILE: gives up the spare, accepts the waiting client and closes it at once.
 
-        Guards against a full accept queue in which clients wait for seconds with no answer; a close
-        tells them at once to go elsewhere. Whether one was shed.
+        In a full accept queue clients would wait for seconds with no answer; a close tells them at once
+        to go elsewhere. Whether one was shed.
         """
         if self._spare is None:
             return False
--- a/tests/test_discovery_outage.py
+++ b/tests/test_discovery_outage.py
@@ -116,8 +116,8 @@
             early = [s for s in d.served if purged < s.asked_s < purged + 4.0]
             old = [s for s in early if s.given_s < purged]
             assert len(old) > len(early) / 2, "a short outage costs the copies nothing"
-            told = d.program.log()
-            assert "served from own copy" in told and "own copies suspended" in told
+            logged = d.program.log()
+            assert "served from own copy" in logged and "own copies suspended" in logged
 
     in_trio(play)(tmp_path)
 
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -367,7 +367,7 @@
         d.end(store=got.store, report={"util": 0.2, "hits": 0.1})
     told = [s for s in d.router.caches if s.heard > 0]
     assert told and all(s.hits < 0.4 and s.busy < 0.6 for s in told)
-    assert all(s.told == -math.inf for s in told), "requests held for others stay an estimate"
+    assert all(s.reported_at == -math.inf for s in told), "requests held for others stay an estimate"
 
 
 def test_a_request_that_errs_at_two_stores_is_given_up_and_blamed_on_neither() -> None:
--- a/tests/test_spread_router.py
+++ b/tests/test_spread_router.py
@@ -60,7 +60,7 @@
         d.say(Spread({"cache-3": share}))
         for s in d.router.caches:
             s.out = 0 if s.m.store == "cache-3" else 14
-            s.told, s.others = d.now, 0.0
+            s.reported_at, s.others = d.now, 0.0
         return {a.store for key in KEYS[:60] for a in d.ask(key) if isinstance(a, Get)}
 
     assert "cache-3" in aside(0.5) and "cache-3" not in aside(0.05)
@@ -70,7 +70,7 @@
     d = Driver(WIDE, zone_proxies=(200, 200, 200))
     for n, held in enumerate((2.0, 2.0, 90_000.0)):
         store = d.router.stores[f"cache-{n}"]
-        store.others, store.told = held, d.now
+        store.others, store.reported_at = held, d.now
     used = {d.serve(key).store for key in KEYS[:40]}
     assert used >= {f"cache-{n}" for n in range(8) if n != 2}, "nobody steps aside to the two"
 
