--- a/starlinghaven/standins/changelog.py
+++ b/starlinghaven/standins/changelog.py
@@ -150,7 +150,7 @@
                 if trio.current_time() >= heartbeat_at:
                     heartbeat_at += HEARTBEAT_S
                     send.send_nowait((trio.current_time(), frame(last, 0, b""), 0))
-                await self._log.appended(heartbeat_at - trio.current_time())
+                await self._log.appended(max(heartbeat_at - trio.current_time(), 0.0))
 
     @staticmethod
     async def _until_closed(stream: trio.SocketStream, scope: trio.CancelScope) -> None:
