--- a/starlinghaven/transport/arrivals.py
+++ b/starlinghaven/transport/arrivals.py
@@ -48,8 +48,8 @@
 
 
 def unread_for_s() -> float:
-    """As of the watch installed in this event loop; 0 where there is none."""
+    """As of the watch installed in this event loop; 0 where there is no watch or no loop."""
     try:
         return _watch.get().unread_for_s()
-    except LookupError:
+    except (LookupError, RuntimeError):
         return 0.0
