Wake all who wait for room among the news, not only the last

What would be seen: the change log no longer followed, without a word. Where the log's task and a new configuration both post while over 1,024 events wait, the second one's event took the place of the first one's, which nobody set any more. Found by reading the change once more. Evidence: test_all_who_post_more_news_than_may_wait_go_on_once_it_is_taken failed before, passes now.

--- a/starlinghaven/routing/engine.py
+++ b/starlinghaven/routing/engine.py
@@ -137,7 +137,8 @@
             with contextlib.suppress(trio.WouldBlock):
                 self._send.send_nowait(_WAKE)
             while len(self._news) > MOST_NEWS:
-                self._news_taken = trio.Event()
+                if self._news_taken.is_set():  # else others wait for it already
+                    self._news_taken = trio.Event()
                 await self._news_taken.wait()
             return
         if self._waits_since is None:
--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -6,6 +6,7 @@
 from pathlib import Path
 
 import trio
+import trio.testing
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -13,7 +14,7 @@
 from starlinghaven.decisions.purges import COUNTS_AS_KNOWN_MS, PurgeTable
 from starlinghaven.protocol.changelog import Progress
 from starlinghaven.routing.copies import Copies
-from starlinghaven.routing.engine import Engine
+from starlinghaven.routing.engine import MOST_NEWS, Engine
 from starlinghaven.routing.lease import PAUSE_MS, NewsLease
 from starlinghaven.routing.types import (
     Ask,
@@ -211,6 +212,27 @@
     assert Result.SERVED not in results, "none was served from the copy"
 
 
+@in_trio
+async def test_all_who_post_more_news_than_may_wait_go_on_once_it_is_taken(tmp_path: Path) -> None:
+    made, time, stores = proxy()
+    posted = 0
+
+    async def post_many() -> None:
+        nonlocal posted
+        for n in range(MOST_NEWS + 2):
+            await made.post(PurgeNews(3, f"{n}", 1000 * time.s))
+        posted += 1
+
+    with trio.fail_after(5):
+        async with trio.open_nursery() as nursery:
+            for _ in range(3):
+                nursery.start_soon(post_many)
+            await trio.testing.wait_all_tasks_blocked()
+            nursery.start_soon(made.run, stores)
+            await until(lambda: posted == 3)
+            nursery.cancel_scope.cancel()
+
+
 def test_an_engine_without_a_change_log_needs_no_news() -> None:
     made = engine(Time(), Stores())
     assert made._lease.covers(0.0, 1e12) and not made._lease.lapsed(1e12)
