Let the soak see a second answer to a request

The soak's client forgot a request at its first answer and dropped any later one, so that its checker of exactly one final answer could find no second. All requests of a connection are kept by tag now. Found by reading the change.

--- a/starlinghaven/lab/soak/clients.py
+++ b/starlinghaven/lab/soak/clients.py
@@ -25,7 +25,8 @@
 
     def __init__(self, proxy: int, address: tuple[str, int], history: History, random: Random) -> None:
         self._proxy, self._address, self._history, self._random = proxy, address, history, random
-        self._open: dict[int, Entry] = {}
+        self._open: set[int] = set()  # tags whose answer is awaited
+        self._asked: dict[int, Entry] = {}  # all requests of the connection by their tags
         self._connection = ""
 
     async def run(self, keys: list[str], weights: list[float]) -> None:
@@ -37,7 +38,7 @@
                 await trio.sleep(0.1)
                 continue
             self._connection = f"{self._proxy}-{next(self._numbers)}"
-            self._open = {}
+            self._open, self._asked = set(), {}
             client = Client(stream)
             async with stream, trio.open_nursery() as nursery:
                 nursery.start_soon(self._listen, client, nursery.cancel_scope)
@@ -60,7 +61,8 @@
     async def _ask(self, client: Client, key: str) -> None:
         number, call = next(self._numbers), f"{next(CALLS):016x}"
         tag = client.next_tag
-        asked = self._open[tag] = self._history.add(
+        self._open.add(tag)
+        asked = self._asked[tag] = self._history.add(
             "ask",
             proxy=self._proxy,
             n=number,
@@ -74,7 +76,7 @@
             await client.send("pieces", key, call=call, ttl=str(TTL_MS), family=group_of(key), block=0)
             if self._random.random() < CANCELLED:
                 await trio.sleep(self._random.uniform(0.0, 0.05))
-                self._open.pop(tag, None)
+                self._open.discard(tag)
                 await client.words.write(b"RPC.CANCEL", b"%d" % tag)
                 self._history.add("cancel", call=call)
         except (trio.BrokenResourceError, trio.ClosedResourceError):
@@ -82,9 +84,8 @@
 
     async def _listen(self, client: Client, scope: trio.CancelScope) -> None:
         while (words := await client.words.read()) is not None:
-            asked = self._open.pop(int(words[0]), None)
-            if asked is not None:
-                self._note_answer(asked, words)
+            self._open.discard(int(words[0]))
+            self._note_answer(self._asked[int(words[0])], words)
         self._history.add("closed", connection=self._connection)
         scope.cancel()
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -4,12 +4,16 @@
 
 from collections.abc import Mapping, Sequence
 from pathlib import Path
+from random import Random
 
 import trio
 
+from starlinghaven.lab.history import History
 from starlinghaven.lab.soak import checks, plan
+from starlinghaven.lab.soak.clients import SoakClient
 from starlinghaven.lab.soak.stage import OBJECTS, ROOT, Stage
 from starlinghaven.lab.soak.stores import GROUPS
+from tests.loopback import Words, in_trio, until
 
 SEEDS = (3, 4, 12, 17)
 SECONDS = 30.0
@@ -50,6 +54,25 @@
     assert not any(found.values()), found
 
 
+@in_trio
+async def test_a_second_answer_to_a_request_is_seen(tmp_path: Path) -> None:
+    async def twice(stream: trio.SocketStream) -> None:
+        words = Words(stream)
+        while (message := await words.read()) is not None:
+            for _ in range(2):
+                await words.write(message[1], b"RESULT", b"", b"x")
+
+    history = History()
+    async with trio.open_nursery() as nursery:
+        (listener,) = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        nursery.start_soon(trio.serve_listeners, twice, [listener])
+        client = SoakClient(0, listener.socket.getsockname()[:2], history, Random(1))
+        nursery.start_soon(client.run, ["0000000000000001"], [1.0])
+        await until(lambda: sum(e["what"] == "answer" for e in history.entries) >= 4)
+        nursery.cancel_scope.cancel()
+    assert any("2 answers" in found for found in checks.one_final_answer(history.entries))
+
+
 def test_a_plan_is_the_same_for_the_same_seed() -> None:
     one, same, other = (plan.draw(seed, SECONDS, PROCESSES, OBJECTS, GROUPS) for seed in (1, 1, 2))
     assert one == same != other
