Answer as the Router decides where a copy it wanted served has gone

Cause: the Router ordered the proxy's own copy after the failed attempt. Between the request's arrival, when the copy was offered, and that order the copy had gone (a purge, an older answer, the lease), and Engine._serve answered with a refusal of its own, in a place that knows nothing of attempts. Why this works: i.Serve now carries what is to be answered otherwise, decided where the attempts are known, and the engine gives it through the same path as any other, with its log line. Counter own_copies_gone. Evidence: test_a_request_that_may_have_run_is_not_refused_when_the_own_copy_has_gone (two effects) failed before on real processes, passes now. Copies, lease, models, rules and mechanism tests: pass.

--- a/starlinghaven/interface.py
+++ b/starlinghaven/interface.py
@@ -339,13 +339,6 @@
     begin_ms: float = math.inf  # as above
 
 
-@dataclass(frozen=True, slots=True)
-class Serve:
-    """Final answer: the proxy's own copy."""
-
-    request: int
-
-
 @dataclass(frozen=True, slots=True)
 class Refuse:
     """Final answer: not done, trying again is harmless."""
@@ -361,6 +354,14 @@
     request: int
 
 
+@dataclass(frozen=True, slots=True)
+class Serve:
+    """Final answer: the proxy's own copy, or `otherwise` where the copy has gone since it was offered."""
+
+    request: int
+    otherwise: Refuse | Fail
+
+
 @dataclass(frozen=True, slots=True)
 class Cancel:
     """Stop waiting for an attempt."""
--- a/starlinghaven/router.py
+++ b/starlinghaven/router.py
@@ -495,7 +495,7 @@
 
     def _serve(self, job: _Job, out: list[i.Action]) -> None:
         del self.jobs[job.r.id]
-        out.append(i.Serve(job.r.id))
+        out.append(i.Serve(job.r.id, self._unserved(job)))
 
     def _size(self, cls: int, ms: float) -> None:
         mean = self.sending[cls]
@@ -697,15 +697,18 @@
         if job.r.id in self.jobs and self._own(job, job.deadline - self.now, job.c.grace_ms):
             return self._serve(job, out)
         self.jobs.pop(job.r.id, None)
+        out.append(self._unserved(job))
+
+    def _unserved(self, job: _Job) -> i.Refuse | i.Fail:
+        """The final answer of a request that gets nothing: a refusal only if that keeps its promise."""
         ran = job.ran is not None or job.open > 0
         if (
             not ran
             or job.c.effect is i.Effect.SAFE
             or (job.c.effect is i.Effect.KEYED and job.c.scope is i.Scope.ALL)
         ):
-            out.append(i.Refuse(job.r.id, self.s.pushback_ms))
-        else:
-            out.append(i.Fail(job.r.id))
+            return i.Refuse(job.r.id, self.s.pushback_ms)
+        return i.Fail(job.r.id)
 
     def _call_off(self, job: _Job | None, out: list[i.Action]) -> None:
         if job and self.s.cancels and not job.streams:
--- a/starlinghaven/routing/engine.py
+++ b/starlinghaven/routing/engine.py
@@ -385,21 +385,22 @@
             return None
         return copy
 
-    def _serve(self, number: int) -> None:
+    def _serve(self, action: i.Serve) -> None:
         """The Router wants the own copy served. It may have gone since it was asked about."""
-        request = self._open.get(number)
-        if request is None or self._copies is None:
+        request = self._open.get(action.request)
+        if request is None:
             return
         copy = self._held_copy(request.ask)
-        if copy is None:
-            self._finish(number, Answer(Result.REFUSED, wait_ms=self._settings.pushback_ms))
+        if copy is None or self._copies is None:
+            self.counters.add("own_copies_gone")
+            self._end(action.otherwise)
             return
         self.counters.add("own_copies")
         self._note_old_news(request.ask, copy)
         unchanged = bool(request.ask.have) and request.ask.have == copy.tag
         self._copies.sent(len(copy.body), unchanged)
         result, body = (Result.UNCHANGED, b"") if unchanged else (Result.SERVED, copy.body)
-        self._finish(number, Answer(result, body, tag=copy.tag))
+        self._finish(action.request, Answer(result, body, tag=copy.tag))
 
     def _note_old_news(self, ask: Ask, copy: Copy) -> None:
         """Logs a copy that is served while the change log has not been heard for longer than usual."""
@@ -588,7 +589,7 @@
                 case i.Send() | i.Get():
                     self._start(action)
                 case i.Serve():
-                    self._serve(action.request)
+                    self._serve(action)
                 case i.Refuse() | i.Fail():
                     self._end(action)
                 case i.Cancel():
