--- a/starlinghaven/protocol/caches.py
+++ b/starlinghaven/protocol/caches.py
@@ -10,6 +10,7 @@
 from starlinghaven.protocol.resp import RespReader, encode, read_fields, write_fields
 
 MOST_BODY = 250_000  # bytes of an answer at most: an object holds 240,000
+STRINGS = 4  # of an answer: ID WORD FIELDS BODY
 
 WORDS = frozenset({b"served", b"still_good", b"not_here", b"overload", b"crashed", b"nobody"})
 NOTES = ("mem", "parent", "origin", "shared", "old", "denied", "unreached", "absent", "crowded", "behind")
@@ -60,7 +61,7 @@
 
 
 def reader() -> RespReader:
-    return RespReader(words=4, word_bytes=4096, body_at=3, body_bytes=MOST_BODY)
+    return RespReader(words=STRINGS, word_bytes=4096, body_at=3, body_bytes=MOST_BODY)
 
 
 def get(o: Order) -> bytes:
@@ -90,9 +91,16 @@
 
 
 def parse(words: list[bytes]) -> Said:
-    if len(words) < 2 or words[1] not in WORDS:
-        raise ProtocolError(f"not an answer: {words[1:2]!r}")
-    fields = read_fields(words[2]) if len(words) > 2 else {}
+    """An answer in exactly the form of the protocol page. Errors: ProtocolError; what is not an answer
+    proves nothing about the request, whatever it resembles.
+    """
+    if len(words) != STRINGS:
+        raise ProtocolError(f"an answer of {len(words)} strings")
+    if words[1] not in WORDS:
+        raise ProtocolError(f"not an answer: {words[1]!r}")
+    if not words[2]:
+        raise ProtocolError("an answer without fields")
+    fields = read_fields(words[2])
     try:
         load = {}
         for pair in filter(None, fields.get("load", "").split(";")):
@@ -103,7 +111,7 @@
         return Said(
             id=words[0].decode("ascii"),
             word=words[1].decode("ascii"),
-            body=words[3] if len(words) > 3 else b"",
+            body=words[3],
             rev=fields.get("rev", ""),
             since_ms=int(fields.get("since", "0")),
             note=NOTES.index(note) + 1 if note in NOTES else 0,
