Pass each attempt and final answer by one guard that knows what may have run

Now decisions/execution.py holds the rule once. The engine keeps a record a request of what began, where and when, and how it ended; routing/guard.py asks it before each attempt is written and each final answer is given. A refusal that is not allowed becomes a failure and is counted (refusals_denied) and logged as an error, so that the Router's own mistakes show. The Router decides by a record of its own; the place of a store is the one at the time of the attempt. The list of stores leaves engine.py (routing/store_table.py).

--- a/starlinghaven/router.py
+++ b/starlinghaven/router.py
@@ -18,6 +18,7 @@
 
 from starlinghaven import interface as i
 from starlinghaven.decisions.cold import ColdBudgets
+from starlinghaven.decisions.execution import ExecutionRecord, Location
 from starlinghaven.decisions.fills import REPORT_MS, FillCounts, FillLink, report_weight
 from starlinghaven.decisions.popularity import COUNTS, UNKEPT, Popularity
 from starlinghaven.decisions.purges import COUNTS_AS_KNOWN_MS, PurgeTable
@@ -78,6 +79,10 @@
     return (int.from_bytes(raw, "big") + 1) / (2.0**56 + 2)
 
 
+def _location(store: StoreState) -> Location:
+    return Location(store.m.zone, store.m.cell)
+
+
 class _Flight:
     """One attempt that is out."""
 
@@ -91,16 +96,15 @@
     """A request that is owed its final answer."""
 
     __slots__ = (
-        *("r", "c", "deadline", "sent", "open", "streams", "ran", "ran_at"),
+        *("r", "c", "deadline", "sent", "open", "streams", "execution"),
         *("failed", "tried", "used", "tier", "held_only", "errors"),
     )
 
-    def __init__(self, request: i.Request, cls: i.RequestClass, now: float) -> None:
+    def __init__(self, request: i.Request, cls: i.RequestClass, second_copies: bool, now: float) -> None:
         self.r, self.c, self.deadline = request, cls, now + request.patience_ms
         self.sent = self.open = self.failed = 0
         self.streams = False
-        self.ran: i.Member | None = None  # store of the first attempt that may have run
-        self.ran_at = 0.0
+        self.execution = ExecutionRecord(cls, second_copies)
         self.tried, self.used = list[str](), list[str]()  # stores and sources that failed this request
         self.errors = list[_Flight]()  # attempts that ended in an error
         self.tier, self.held_only = UNKEPT, False  # held_only: no fill, only a copy that a cache holds
@@ -472,7 +476,7 @@
     # -- life of a request --------------------------------------------------------------------
 
     def _arrive(self, r: i.Request, out: list[i.Action]) -> None:
-        job = self.jobs[r.id] = _Job(r, self.s.classes[r.cls], self.now)
+        job = self.jobs[r.id] = _Job(r, self.s.classes[r.cls], self.s.second_copies, self.now)
         self.popularity.age(self.now)
         if not job.c.uncached:
             self.popularity.count(r.key, r.part == 0, self.now)
@@ -538,17 +542,10 @@
         return max(LEAST_WORK * told, LAST_MS if job.sent else 0.0)
 
     def _allowed(self, job: _Job, stores: list[StoreState]) -> list[StoreState]:
-        """Where a keyed request that may have run may still go: stores that drop its repeat."""
-        ran = job.ran
-        if ran is None or job.c.effect is not i.Effect.KEYED:
+        """Where a request may still go: a repeat only to stores that recognise it."""
+        if not job.execution.may_have_run:
             return stores
-        if self.now - job.ran_at >= job.c.window_ms:
-            return []
-        if job.c.scope is i.Scope.ZONE:
-            return [s for s in stores if s.m.zone == ran.zone]
-        if job.c.scope is i.Scope.CELL:
-            return [s for s in stores if s.m.cell == ran.cell]
-        return stores
+        return [s for s in stores if job.execution.denial(_location(s), self.now) is None]
 
     def _go(self, job: _Job, store: StoreState, source: StoreState | None, out: list[i.Action]) -> None:
         r, left = job.r, max(job.deadline - self.now, 0.0)
@@ -556,8 +553,8 @@
         timeout = left if last or job.sent else FIRST_SHARE * left
         if left - timeout <= self._least(job):
             timeout = left  # no other could follow
-        window = job.c.window_ms - (self.now - job.ran_at) if job.ran else math.inf
-        begin = window if job.c.effect is i.Effect.KEYED else math.inf
+        begin = job.execution.window_left_ms(self.now)
+        job.execution.begin(job.sent, _location(store), self.now)
         if store.m.kind == self.s.origin_kind:
             out.append(i.Send(r.id, store.m.store, timeout, begin))
         else:
@@ -636,6 +633,7 @@
         if o.code is i.Code.OK and flight.calm and not job.r.size_kb:
             self._size(job.r.cls, o.took_ms)
         job.open -= 1
+        job.execution.end(o.attempt, o.code)
         if o.code is i.Code.ERROR:
             job.errors.append(flight)
         elif o.code is i.Code.OK:
@@ -648,9 +646,6 @@
             if job.open:
                 self._drop(job, o, out)
             return
-        if o.code in (i.Code.ERROR, i.Code.TIMEOUT, i.Code.RESET, i.Code.CANCELLED) and job.ran is None:
-            job.ran = store.m if store else i.Member(flight.store, -1, -1, -1)
-            job.ran_at = self.now - o.took_ms
         self._again(job, flight, o, out)
 
     def _again(self, job: _Job, flight: _Flight, o: i.Outcome, out: list[i.Action]) -> None:
@@ -659,8 +654,8 @@
         if job.open or job.streams:
             return
         job.failed += 1
-        unsafe = job.c.effect is i.Effect.UNSAFE and job.ran is not None or len(job.errors) >= MOST_ERRORS
-        if unsafe or self.purse < 1 or left <= self._least(job):
+        at_fault = len(job.errors) >= MOST_ERRORS
+        if at_fault or not job.execution.may_repeat or self.purse < 1 or left <= self._least(job):
             return self._give_up(job, out)
         if job.held_only and o.code is i.Code.MISS:
             return self._behind(job, flight, out)
@@ -701,12 +696,7 @@
 
     def _unserved(self, job: _Job) -> i.Refuse | i.Fail:
         """The final answer of a request that gets nothing: a refusal only if that keeps its promise."""
-        ran = job.ran is not None or job.open > 0
-        if (
-            not ran
-            or job.c.effect is i.Effect.SAFE
-            or (job.c.effect is i.Effect.KEYED and job.c.scope is i.Scope.ALL)
-        ):
+        if job.execution.may_refuse:
             return i.Refuse(job.r.id, self.s.pushback_ms)
         return i.Fail(job.r.id)
 
--- a/starlinghaven/routing/engine.py
+++ b/starlinghaven/routing/engine.py
@@ -9,15 +9,18 @@
 import math
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 
 import trio
 
 from starlinghaven import interface as i
+from starlinghaven.decisions.execution import ExecutionRecord
 from starlinghaven.router import Router
 from starlinghaven.routing.clock import Clock
 from starlinghaven.routing.copies import Copies, Copy
+from starlinghaven.routing.guard import Guard, OpenRequest
 from starlinghaven.routing.lease import PAUSE_MS, NewsLease
+from starlinghaven.routing.store_table import StoreTable
 from starlinghaven.routing.types import (
     Answer,
     Ask,
@@ -38,7 +41,6 @@
     PurgeNews,
     Result,
     SpreadNews,
-    Store,
     Taken,
     Ticket,
 )
@@ -62,18 +64,6 @@
 TURNS = 3  # turns of the loop in which they are: one for the wait, one for the reading, one to spare
 
 
-@dataclass(eq=False, slots=True)
-class _Open:
-    """A request that is owed its final answer."""
-
-    ask: Ask
-    ticket: Ticket
-    deadline: float
-    attempts: list[Attempt] = field(default_factory=list)
-    last: i.Code | None = None  # how its last attempt ended
-    lacking: bool = False  # that one could be filled, and no copy was to be had
-
-
 @dataclass(order=True, slots=True)
 class _Due:
     when: float
@@ -100,20 +90,18 @@
         self._news: deque[LogNews] = deque()
         self._news_taken = trio.Event()
         self._clock_observed_at = -math.inf
-        self._starts: dict[str, tuple[float, float]] = {}  # store -> its listed start, and on the clock
         self.clock, self.counters, self._settings = clock, counters, settings
         self._router = Router(settings, seed, clock.now())
         self._send, self._receive = trio.open_memory_channel[Event | _Wake](QUEUE)
         self.caches: CacheSide | None = None
         self.tell: Callable[[str, bool], None] | None = None  # to other proxies: store, silent; never waits
         self.observer: Observer | None = None  # of loads, where proxies tell each other
-        self._open: dict[int, _Open] = {}
+        self._open: dict[int, OpenRequest] = {}
         self._numbers: dict[Ticket, int] = {}
         self._ids: set[str] = set()  # of the open requests
         self._attempts: dict[tuple[int, int], Attempt] = {}
-        self._stores: dict[str, Store] = {}
-        self._excluded: set[str] = set()  # by hand; they stay so while the list says what it likes
-        self._back: dict[str, float] = {}  # those put back into use, and when: they may be cold
+        self._stores = StoreTable(settings, clock)
+        self._guard = Guard(self._stores, clock, counters)
         self._due: list[_Due] = []
         self._order = itertools.count()
         self._next = itertools.count(1)
@@ -157,7 +145,7 @@
     @property
     def fleet_ids(self) -> set[str]:
         """Ids of all stores that are listed and not gone."""
-        return set(self._stores)
+        return self._stores.ids
 
     @property
     def capacities(self) -> dict[str, float]:
@@ -167,16 +155,7 @@
     @property
     def avoided(self) -> int:
         """Listed stores that get nothing new: by hand, by the list, or by choice."""
-        resting = self._router.resting()
-        return sum(
-            s.id in self._excluded or s.phase is not i.Phase.UP or s.id in resting
-            for s in self._stores.values()
-        )
-
-    def _own_cache(self, store: Store) -> bool:
-        """Whether it is a cache of the own zone."""
-        behind = (self._settings.origin_kind, self._settings.parent_kind)
-        return store.zone == self._settings.zone and store.kind not in behind
+        return len(self._stores.ids) - len(self._stores.usable(self._router.resting()))
 
     @property
     def state(self) -> str:
@@ -189,7 +168,7 @@
     def weight(self) -> int:
         """Part of its usual traffic that this proxy can take, in percent: at least 1, so that it is seen
         when it recovers. It falls with caches that are listed but not up, and with what is refused."""
-        own = [s for s in self._stores.values() if self._own_cache(s)]
+        own = self._stores.own_caches()
         up = sum(s.phase is i.Phase.UP for s in own) / len(own) if own else 0.0
         return max(round(100 * up * (1.0 - self._unserved_now())), 1)
 
@@ -201,12 +180,8 @@
     @property
     def reachable(self) -> tuple[int, int]:
         """Caches of the own zone: how many are listed, and how many of them take new work."""
-        own = [s for s in self._stores.values() if self._own_cache(s)]
-        resting = self._router.resting()
-        usable = sum(
-            s.phase is i.Phase.UP and s.id not in self._excluded and s.id not in resting for s in own
-        )
-        return len(own), usable
+        usable = self._stores.usable(self._router.resting())
+        return len(self._stores.own_caches()), sum(self._stores.is_own_cache(s) for s in usable)
 
     def unserved(self) -> float:
         """Share of recent answers that did not serve, 0 to 1, forgotten over UNSERVED_MS."""
@@ -336,7 +311,7 @@
             what = heapq.heappop(self._due).what
             if isinstance(what, Attempt):
                 self._time_out(what)
-            elif isinstance(what, _Open):
+            elif isinstance(what, OpenRequest):
                 self._out_of_time(what)
             elif isinstance(what, int):
                 self._decide(i.Timer(what))
@@ -347,16 +322,20 @@
         ask = event.ask
         self.counters.add("taken")
         if len(self._open) >= MOST_OPEN:  # guards memory; the Router refuses long before
+            request_log.info("request %s refused: %d requests open", ask.id, len(self._open))
             self._tell(event, Answer(Result.REFUSED, wait_ms=self._settings.pushback_ms))
             return
         if ask.id in self._ids:  # guards an open request: stores know it by its id alone
             self.counters.add("ids_again")
+            request_log.info("request %s failed: its id is that of an open request", ask.id)
             self._tell(event, Answer(Result.FAILED))
             return
         self._ids.add(ask.id)
         number = next(self._next)
         deadline = ask.taken_ms + max(ask.patience_ms - MARGIN_MS, ask.patience_ms / 2)
-        request = _Open(ask, event.ticket, deadline)
+        cls = self._settings.classes[ask.cls]
+        execution = ExecutionRecord(cls, self._settings.second_copies)
+        request = OpenRequest(ask, event.ticket, deadline, execution)
         self._open[number] = request
         self._numbers[event.ticket] = number
         self._at(deadline + GUARD_MS, request)
@@ -419,7 +398,7 @@
             self.counters.add("left")
             self._decide(i.Gone(number))
 
-    def _out_of_time(self, request: _Open) -> None:
+    def _out_of_time(self, request: OpenRequest) -> None:
         """The last guard of the deadline: the Router has ended its requests before, as a rule."""
         number = self._numbers.get(request.ticket)
         if number is not None and self._open.get(number) is request:
@@ -427,7 +406,7 @@
             self._finish(number, Answer(Result.FAILED, late=True))
             self._decide(i.Gone(number))
 
-    def _close(self, number: int) -> _Open:
+    def _close(self, number: int) -> OpenRequest:
         """The one place where a request leaves the engine."""
         request = self._open.pop(number)
         request.attempts.clear()  # each knows those before it, itself too: a cycle that would stay for long
@@ -438,9 +417,13 @@
         return request
 
     def _finish(self, number: int, answer: Answer) -> None:
+        """The one place where an open request gets its final answer."""
+        answer = self._guard.allowed(self._open[number], answer)
+        if answer.result in (Result.REFUSED, Result.FAILED):
+            self._note_unserved(self._open[number], answer)
         self._tell(self._close(number), answer)
 
-    def _tell(self, request: Taken | _Open, answer: Answer) -> None:
+    def _tell(self, request: Taken | OpenRequest, answer: Answer) -> None:
         self.counters.add(f"answered_{answer.result.name.lower()}")
         outcome = Result.SERVED if answer.result is Result.UNCHANGED else answer.result
         self.counters.add(f"class{request.ask.cls}_{outcome.name.lower()}")
@@ -467,7 +450,10 @@
         if e.code in i.ANSWERED:
             self.heard.add(a.store)
         request = self._open.get(a.request)
+        if e.code is not i.Code.OK:
+            self._note_ended(a, e.code)
         if request is not None:
+            request.execution.end(a.number, e.code)
             request.last = e.code
             request.lacking = e.code is i.Code.MISS and a.source != a.store
             if e.code is i.Code.OK:
@@ -489,6 +475,13 @@
             )
         )
 
+    def _note_ended(self, a: Attempt, code: i.Code) -> None:
+        request_log.info(
+            "request %s attempt=%d ended %s store=%s source=%s written=%d after_ms=%.0f",
+            *(a.ask.id, a.number, code.name.lower(), a.store, a.source or "-", a.written),
+            self.clock.now() - a.sent_ms,
+        )
+
     def _time_out(self, a: Attempt) -> None:
         if self._attempts.get((a.request, a.number)) is a:
             self._give_up(a, i.Code.TIMEOUT)
@@ -500,35 +493,16 @@
         self._settle(a, Ended(a, code if a.written else i.Code.NO_CONNECTION))
 
     def may_begin(self, a: Attempt) -> bool:
-        """The one place that decides whether an attempt may begin. Asked right before it is written.
+        """Whether an attempt may begin after all. Asked right before it is written.
 
-        What was true when the Router decided may have passed since, in a queue, a dial or a stall: the
-        client has left, its own time, the window for a repeat or the grace of a purge is over, the store or
-        the source of a fill is listed no more, drains, or has another address.
+        What was true when the Router decided may have passed since, in a queue, a dial or a stall.
         """
         request = self._open.get(a.request)
         if request is not None and not request.ticket.left:
-            return self._still_fits(a)
+            return self._guard.may_begin(request, a)
         self.counters.add("not_begun_left")
         return False
 
-    def _still_fits(self, a: Attempt) -> bool:
-        """`may_begin` but for the client, for whom the system is asked: once an attempt will do."""
-        if self.clock.now() >= a.begin_by:
-            why = "window"
-        elif not self._takes_new(a.store, a.address) or a.source and not self._takes_new(a.source):
-            why = "list"
-        else:
-            return True
-        self.counters.add(f"not_begun_{why}")
-        return False
-
-    def _takes_new(self, store: str, address: str = "") -> bool:
-        s = self._stores.get(store)
-        if s is None or s.phase is not i.Phase.UP or store in self._excluded:
-            return False
-        return not address or s.address == address
-
     def _start(self, order: i.Send | i.Get) -> None:
         assert self.caches is not None
         request = self._open.get(order.request)
@@ -557,19 +531,19 @@
             attempt.join, attempt.renew = order.join, order.renew
         request.attempts.append(attempt)
         if attempt.number:
-            last = request.last.name.lower() if request.last else "out"
-            self.counters.add(f"retried_after_{last}")
+            self.counters.add(f"retried_after_{request.last_word}")
             request_log.info(
-                "request %s attempt=%d store=%s source=%s after %s", request.ask.id, attempt.number,
-                attempt.store, attempt.source or "-", last,
-            )  # fmt: skip
+                "request %s attempt=%d store=%s source=%s after %s",
+                *(request.ask.id, attempt.number, attempt.store, attempt.source or "-", request.last_word),
+            )
+        request.execution.begin(attempt.number, self._stores.location(attempt.store), now)
         self._attempts[order.request, attempt.number] = attempt
         self.counters.add("sent")
-        if attempt.number >= self._settings.most_attempts or not self._still_fits(attempt):
+        if attempt.number >= self._settings.most_attempts or not self._guard.may_begin(request, attempt):
             self._settle(attempt, Ended(attempt, i.Code.MOOT))
             return
         self._at(now + attempt.timeout_ms, attempt)
-        if self.observer and store is not None and self._own_cache(store):
+        if self.observer and store is not None and self._stores.is_own_cache(store):
             self.observer.sent(attempt.store, now)
         self.caches.send(attempt)
 
@@ -611,86 +585,28 @@
             answer = Answer(Result.REFUSED, wait_ms=action.wait_ms, late=late, lacking=request.lacking)
         else:
             answer = Answer(Result.FAILED, late=late, lacking=request.lacking)
-        self._note_unserved(request, answer)
         self._finish(action.request, answer)
 
-    def _note_unserved(self, request: _Open, answer: Answer) -> None:
-        last = request.last.name.lower() if request.last else "none"
-        now = self.clock.now()
+    def _note_unserved(self, request: OpenRequest, answer: Answer) -> None:
+        now, attempts = self.clock.now(), len(request.attempts)
         request_log.info(
             "request %s %s class=%d attempts=%d last=%s after_ms=%.0f left_ms=%.0f open=%d",
-            *(request.ask.id, answer.result.name.lower(), request.ask.cls, len(request.attempts), last),
+            *(request.ask.id, answer.result.name.lower(), request.ask.cls, attempts, request.last_word),
             *(now - request.ask.taken_ms, request.deadline - now, len(self._open)),
         )
 
     def _listed(self, news: FleetNews) -> None:
-        before = set(self._stores)
-        if news.kind is not i.ListKind.PARTIAL:
-            self._stores.clear()
-        members = []
-        for s in news.stores:
-            members += self._place(s)
+        before = self._stores.ids
+        members = self._stores.update(news)
         if self.caches:
-            for gone in before - set(self._stores):
+            for gone in before - self._stores.ids:
                 self.caches.forget(gone)
-        self._back = {s: at for s, at in self._back.items() if s in self._stores}
-        self._starts = {s: at for s, at in self._starts.items() if s in self._stores}
         self.counters.add("lists")
         self._decide(i.Members(news.kind, tuple(members)))
 
-    def _place(self, s: Store) -> list[i.Member]:
-        """Takes one line of the list; tells of every store that it changes.
-
-        Guards against an address that passes to a new id before the old id is told as gone: of two at one
-        address, the one that started later is there, and what is sent to the other would reach it.
-        """
-        changed = []
-        for other in [o for o in self._stores.values() if o.address == s.address and o.id != s.id]:
-            if s.phase is not i.Phase.GONE and s.started_unix_ms >= other.started_unix_ms:
-                del self._stores[other.id]
-                changed.append(self._member(replace(other, phase=i.Phase.GONE)))
-            else:
-                s = replace(s, phase=i.Phase.GONE)
-        if s.phase is i.Phase.GONE:
-            self._stores.pop(s.id, None)
-        else:
-            self._stores[s.id] = s
-        return [*changed, self._member(s)]
-
-    def _member(self, s: Store) -> i.Member:
-        started = max(self._started(s), self._back.get(s.id, 0.0))
-        hidden = s.id in self._excluded and s.phase is i.Phase.UP
-        phase = i.Phase.DRAINING if hidden else s.phase
-        return i.Member(s.id, s.zone, s.kind, s.cell, phase, s.weight, started)
-
-    def _started(self, s: Store) -> float:
-        """A store's start on the clock, the same for the same start; 0, for long ago, stays 0.
-
-        After a step of the wall clock it is the latest that it may be: the store counts as colder.
-        """
-        if s.started_unix_ms <= 0:
-            return 0.0
-        listed, started = self._starts.get(s.id, (0.0, 0.0))
-        if listed != s.started_unix_ms:
-            started = self.clock.latest(s.started_unix_ms)
-            self._starts[s.id] = s.started_unix_ms, started
-        return started
-
     def _by_hand(self, hand: Hand) -> None:
-        """Guards what operators work on: nothing new goes to it, whatever the list says in between.
-
-        Put back, it counts as started just now: it may have been restarted, and nobody tells of that.
-        """
-        was, store = hand.store in self._excluded, self._stores.get(hand.store)
-        known = store is not None or was
-        if known or hand.answer is None:  # another process has heard of it and said yes
-            if hand.out:
-                self._excluded.add(hand.store)
-            else:
-                self._excluded.discard(hand.store)
-                if was and store:
-                    self._back[hand.store] = self.clock.latest(hand.unix_ms)
-            if store and was != hand.out:
-                self._decide(i.Members(i.ListKind.PARTIAL, (self._member(store),)))
+        known, changed = self._stores.by_hand(hand)
+        if changed:
+            self._decide(i.Members(i.ListKind.PARTIAL, tuple(changed)))
         if hand.answer is not None:
             hand.answer(known)
--- /dev/null
+++ b/starlinghaven/routing/store_table.py
@@ -0,0 +1,125 @@
+"""The stores as the change log lists them and as operators work on them. No decisions."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from starlinghaven import interface as i
+from starlinghaven.decisions.execution import Location
+from starlinghaven.routing.clock import Clock
+from starlinghaven.routing.types import FleetNews, Hand, Store
+
+
+class StoreTable:
+    """Listed stores that are not gone, and those that operators have taken out of use."""
+
+    def __init__(self, settings: i.Settings, clock: Clock) -> None:
+        self._settings, self._clock = settings, clock
+        self._stores: dict[str, Store] = {}
+        self._excluded: set[str] = set()  # by hand; whatever the list says of them
+        self._included_at: dict[str, float] = {}  # when stores were put back by hand: they may be cold
+        self._started_at: dict[str, tuple[float, float]] = {}  # a start as listed, and on the clock
+
+    def __contains__(self, store: str) -> bool:
+        return store in self._stores
+
+    def get(self, store: str) -> Store | None:
+        """The line of a store, if it is listed."""
+        return self._stores.get(store)
+
+    @property
+    def ids(self) -> set[str]:
+        """Ids of all stores that are listed and not gone."""
+        return set(self._stores)
+
+    def location(self, store: str) -> Location:
+        """Where a store is listed now; one that is not listed shares its location with no other."""
+        line = self._stores.get(store)
+        return Location(line.zone, line.cell) if line else Location(-1, -1)
+
+    def is_own_cache(self, store: Store) -> bool:
+        """Whether it is a cache of the own zone."""
+        behind = (self._settings.origin_kind, self._settings.parent_kind)
+        return store.zone == self._settings.zone and store.kind not in behind
+
+    def own_caches(self) -> list[Store]:
+        """The listed caches of the own zone."""
+        return [store for store in self._stores.values() if self.is_own_cache(store)]
+
+    def takes_new(self, store: str, address: str = "") -> bool:
+        """Whether new work may go to a store, at this address if one is named."""
+        line = self._stores.get(store)
+        if line is None or line.phase is not i.Phase.UP or store in self._excluded:
+            return False
+        return not address or line.address == address
+
+    def update(self, news: FleetNews) -> list[i.Member]:
+        """Takes over a list, or changes to it; returns every line that it changes, for the Router."""
+        if news.kind is not i.ListKind.PARTIAL:
+            self._stores.clear()
+        members: list[i.Member] = []
+        for store in news.stores:
+            members += self._place(store)
+        self._included_at = {s: at for s, at in self._included_at.items() if s in self._stores}
+        self._started_at = {s: at for s, at in self._started_at.items() if s in self._stores}
+        return members
+
+    def _place(self, store: Store) -> list[i.Member]:
+        """Takes one line of the list; returns the lines of all stores that it changes.
+
+        An address may pass to a new id before the old id is listed as gone. Of two stores at one address, the
+        one that started later is there, and what is sent to the other would reach it.
+        """
+        changed = []
+        for other in [o for o in self._stores.values() if o.address == store.address and o.id != store.id]:
+            if store.phase is not i.Phase.GONE and store.started_unix_ms >= other.started_unix_ms:
+                del self._stores[other.id]
+                changed.append(self._member(replace(other, phase=i.Phase.GONE)))
+            else:
+                store = replace(store, phase=i.Phase.GONE)
+        if store.phase is i.Phase.GONE:
+            self._stores.pop(store.id, None)
+        else:
+            self._stores[store.id] = store
+        return [*changed, self._member(store)]
+
+    def _member(self, store: Store) -> i.Member:
+        started = max(self._started(store), self._included_at.get(store.id, 0.0))
+        hidden = store.id in self._excluded and store.phase is i.Phase.UP
+        phase = i.Phase.DRAINING if hidden else store.phase
+        return i.Member(store.id, store.zone, store.kind, store.cell, phase, store.weight, started)
+
+    def _started(self, store: Store) -> float:
+        """A store's start on the clock, the same for the same start; 0, for long ago, stays 0.
+
+        After a step of the wall clock it is the latest that it may be: the store counts as colder.
+        """
+        if store.started_unix_ms <= 0:
+            return 0.0
+        listed, started = self._started_at.get(store.id, (0.0, 0.0))
+        if listed != store.started_unix_ms:
+            started = self._clock.latest(store.started_unix_ms)
+            self._started_at[store.id] = store.started_unix_ms, started
+        return started
+
+    def by_hand(self, hand: Hand) -> tuple[bool, list[i.Member]]:
+        """An operator takes a store out of use or puts it back; whether it is known, and lines that change.
+
+        A store that is put back counts as started just then: it may have been restarted meanwhile.
+        """
+        was_out, store = hand.store in self._excluded, self._stores.get(hand.store)
+        known = store is not None or was_out
+        if not known and hand.answer is not None:  # else another process knew the store
+            return False, []
+        if hand.out:
+            self._excluded.add(hand.store)
+        else:
+            self._excluded.discard(hand.store)
+            if was_out and store:
+                self._included_at[hand.store] = self._clock.latest(hand.unix_ms)
+        changed = [self._member(store)] if store and was_out != hand.out else []
+        return known, changed
+
+    def usable(self, resting: set[str]) -> list[Store]:
+        """Listed stores that take new work and are not resting."""
+        return [s for s in self._stores.values() if self.takes_new(s.id) and s.id not in resting]
