Give up no places for an accept that fails while descriptors are to be had

Cause: the error was believed although the process could have had a descriptor, and each failure cost a pause of 50 ms. Now the listener tries to get one: if it can, the failure was a passing one and accepting goes on after 1 ms, doubled with each failure in a row. A shortage that is real, or over eight failures long, gives up places as before. Evidence: test_an_accept_that_fails_now_and_then_costs_no_places_while_descriptors_are_there (EMFILE, ENFILE, ENOBUFS) failed before, passes now; the tests of real shortages pass.

--- a/starlinghaven/transport/listener.py
+++ b/starlinghaven/transport/listener.py
@@ -23,6 +23,7 @@
 
 BACKLOG = 512
 PAUSE_S = 0.05  # seconds without accepting after descriptors or memory ran out
+FIRST_PAUSE_S = 0.001  # after one passing failure; doubled with each in a row, up to PAUSE_S
 LINGERING = 16  # connections in their lingering close beyond the places, at most a quarter of these
 MOST_FAILED = 8  # accepts that may fail in a row before there is a pause
 
@@ -48,6 +49,15 @@
     return host, int(port)
 
 
+def _descriptor_is_free() -> bool:
+    """Whether this process can have a descriptor now: an accept that says otherwise failed for a moment."""
+    try:
+        os.close(os.open(os.devnull, os.O_RDONLY))
+    except OSError:
+        return False
+    return True
+
+
 class Listener:
     """Owns the listening socket and counts the connections that came through it."""
 
@@ -192,13 +202,17 @@
         if meaning is errors.Meaning.BROKEN:
             raise error
         log.warning("accept failed: %s", error)
-        if error.errno in errors.SHORT_OF_DESCRIPTORS:
+        lasting = in_a_row > MOST_FAILED
+        if error.errno in errors.SHORT_OF_DESCRIPTORS and (lasting or not _descriptor_is_free()):
             # Whoever holds places idle must not keep descriptors from the change log and the stores.
             self._places.shortage(self.count + len(self._lingering), time.monotonic())
             if self._shed():
                 return
-        if meaning is errors.Meaning.SHORTAGE or in_a_row > MOST_FAILED:
+            lasting = True
+        if lasting:
             await trio.sleep(PAUSE_S)
+        elif meaning is errors.Meaning.SHORTAGE:
+            await trio.sleep(min(FIRST_PAUSE_S * 2 ** (in_a_row - 1), PAUSE_S))
 
     def _begin(self, nursery: trio.Nursery, sock: trio.socket.SocketType, serve: Serve) -> None:
         ticket = self._ticket(sock)
--- a/tests/test_system_calls.py
+++ b/tests/test_system_calls.py
@@ -11,10 +11,12 @@
 
 import pytest
 import trio
+import trio.testing
 
 from starlinghaven.transport import places as places_module
 from starlinghaven.transport.connection import Connection
 from starlinghaven.transport.listener import Listener
+from starlinghaven.transport.pool import Link, Pool
 from starlinghaven.transport.ring import Memory, Ring
 from tests.loopback import free_port, in_trio, until
 
@@ -37,8 +39,10 @@
         if name != self._call:
             return getattr(self._real, name)
 
+        fails = self.left > 0
+
         async def failing(*args: Any) -> Any:
-            if self.left > 0:
+            if fails:
                 self.left -= 1
                 raise OSError(self._number, os.strerror(self._number))
             return await getattr(self._real, name)(*args)
@@ -46,6 +50,20 @@
         return failing
 
 
+class FlakySocket(FailingSocket):
+    """A socket of which four of ten calls fail, for as long as it is used."""
+
+    def __init__(self, real: Any, call: str, number: int) -> None:
+        super().__init__(real, call, number, 0)
+        self._calls = 0
+
+    def __getattr__(self, name: str) -> Any:
+        if name == self._call:
+            self._calls += 1
+            self.left = int(self._calls % 10 in (1, 2, 5, 8))
+        return super().__getattr__(name)
+
+
 async def echo(connection: Connection) -> None:
     async def feed(ring: Ring) -> int:
         connection.write(ring.take(ring.size))
@@ -55,19 +73,22 @@
 
 
 @asynccontextmanager
-async def listening(number: int, times: int) -> AsyncIterator[Listener]:
-    """A listener whose accept fails."""
+async def listening(number: int, times: int | None) -> AsyncIterator[Listener]:
+    """A listener whose accept fails so many times, or four of ten times."""
     listener = Listener(f"127.0.0.1:{free_port()}", Memory(1 << 24), PLACES)
     async with trio.open_nursery() as nursery:
         await listener.open()
-        listener._sock = cast(Any, FailingSocket(listener._sock, "accept", number, times))
+        failing: FailingSocket = FlakySocket(listener._sock, "accept", number)
+        if times is not None:
+            failing = FailingSocket(listener._sock, "accept", number, times)
+        listener._sock = cast(Any, failing)
         nursery.start_soon(listener.run, echo, lambda: False)
         yield listener
         nursery.cancel_scope.cancel()
 
 
-async def echoed(listener: Listener, clients: int) -> int:
-    """How many clients that come at once, and stay, are answered within 5 s."""
+async def echoed(listener: Listener, clients: int, seconds: float = 5.0) -> int:
+    """How many clients that come at once, and stay, are answered within so many seconds."""
     answered = 0
 
     async def ask() -> None:
@@ -77,7 +98,7 @@
         assert await stream.receive_some() == b"x"
         answered += 1
 
-    with trio.move_on_after(5.0):
+    with trio.move_on_after(seconds):
         async with trio.open_nursery() as nursery:
             for _ in range(clients):
                 nursery.start_soon(ask)
@@ -105,6 +126,61 @@
     in_trio(play)(tmp_path)
 
 
+@pytest.mark.parametrize("number", [errno.EMFILE, errno.ENFILE, errno.ENOBUFS])
+def test_an_accept_that_fails_now_and_then_costs_no_places_while_descriptors_are_there(
+    tmp_path: Path, number: int
+) -> None:
+    async def play(folder: Path) -> None:
+        async with listening(number, None) as listener:
+            assert await echoed(listener, CLIENTS, 1.0) == CLIENTS
+            assert listener.most == PLACES
+
+    in_trio(play)(tmp_path)
+
+
+DIAL_ERRORS = (
+    *(errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL, errno.ENETUNREACH),
+    *(errno.EINTR, errno.EAGAIN, errno.EHOSTUNREACH, errno.ENETDOWN),
+)
+
+
+@pytest.mark.parametrize("call", ["socket", "connect"])
+def test_a_dial_that_fails_for_a_moment_for_want_of_something_local_is_tried_again(
+    tmp_path: Path, call: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    real = trio.socket.socket
+
+    async def play(folder: Path) -> None:
+        (listener,) = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        place = ("s", f"127.0.0.1:{listener.socket.getsockname()[1]}")
+        for number in DIAL_ERRORS:
+            left = 2
+
+            def flaky(*args: Any, number: int = number) -> Any:
+                nonlocal left
+                if call == "connect":
+                    failing = FailingSocket(real(*args), "connect", number, 1 if left else 0)
+                    left = max(left - 1, 0)
+                    return failing
+                if left:
+                    left -= 1
+                    raise OSError(number, os.strerror(number))
+                return real(*args)
+
+            monkeypatch.setattr(trio.socket, "socket", flaky)
+            pool = Pool(lambda _, c: Link(c), Memory(1 << 24), dial_s=1.0, streams=4, idle_s=9.0, most=9)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(pool.run)
+                await trio.testing.wait_all_tasks_blocked()
+                with trio.fail_after(2.0):
+                    await pool.link(place)
+                assert pool.count == 1, errno.errorcode[number]
+                nursery.cancel_scope.cancel()
+            assert pool.count == 0
+
+    in_trio(play)(tmp_path)
+
+
 @in_trio
 async def test_a_read_or_write_that_fails_for_a_moment_does_not_end_a_connection(tmp_path: Path) -> None:
     for call in ("recv_into", "send"):
