Try a dial again that failed for a reason of this machine

Callers saw refusals and slow answers while connect or socket failed for a moment (EADDRNOTAVAIL, ENOBUFS, ENETUNREACH, EINTR ...): the dial counted as failed, an attempt was lost to it and a healthy store took grave blame. Cause: the pool made no difference between errors that tell of the peer and those that tell of this machine. Now the latter are tried again three times within the dial's own time. Evidence: test_a_dial_that_fails_for_a_moment_for_want_of_something_local_is_tried_again (socket, connect) failed before, passes now; transport, system calls and admission tests: 29 passed.

--- a/starlinghaven/transport/errors.py
+++ b/starlinghaven/transport/errors.py
@@ -17,6 +17,11 @@
 SHORT_OF_DESCRIPTORS = frozenset({errno.EMFILE, errno.ENFILE})
 SHORTAGES = SHORT_OF_DESCRIPTORS | {errno.ENOBUFS, errno.ENOMEM, errno.ENOSR}
 BROKEN = frozenset({errno.EBADF, errno.EFAULT, errno.EINVAL, errno.ENOTSOCK})
+LOCAL = SHORTAGES | {
+    *(errno.EADDRNOTAVAIL, errno.EINTR, errno.EAGAIN),
+    *(errno.ENETUNREACH, errno.ENETDOWN, errno.EHOSTUNREACH),
+}
+"""Errors of socket and connect that tell of this machine, or of a moment, and nothing of the peer."""
 PASSING = frozenset({errno.ENOBUFS, errno.ENOMEM, errno.EINTR, errno.EAGAIN})
 
 
@@ -29,6 +34,11 @@
     return Meaning.CONNECTION
 
 
+def concerns_peer(error: OSError) -> bool:
+    """Whether a failed socket(2) or connect(2) tells of the peer; else it may be tried again."""
+    return error.errno not in LOCAL
+
+
 def passes(error: OSError) -> bool:
     """Whether a read or write on a connection may be tried again: the connection itself is well."""
     return error.errno in PASSING
--- a/starlinghaven/transport/pool.py
+++ b/starlinghaven/transport/pool.py
@@ -9,6 +9,7 @@
 
 import trio
 
+from starlinghaven.transport import errors
 from starlinghaven.transport.connection import Connection
 from starlinghaven.transport.listener import split_address
 from starlinghaven.transport.ring import Memory, NoMemory
@@ -23,6 +24,8 @@
 SWEEP_S = 0.1  # seconds between two looks for connections that stopped in the middle of an answer
 SHARED = 4  # requests on a connection from which another one is dialed: a spoilt answer ends them all
 STUCK_S = 0.3  # seconds without a byte in the middle of an answer, after which nothing more is awaited
+DIAL_RETRIES = 3  # of a dial that failed for a reason of this machine
+DIAL_RETRY_S = 0.01  # seconds before the first of them, doubled each time
 WHOLE_S = 10.0  # seconds that one answer may take to come in, where nobody says how long clients wait
 
 
@@ -182,13 +185,10 @@
         return dial
 
     async def _dial(self, place: Place, dial: _Dial) -> None:
-        sock: trio.socket.SocketType | None = None
         link: L | None = None
         try:
-            sock = trio.socket.socket(socket.AF_INET, socket.SOCK_STREAM)  # may fail too: no descriptor left
             with trio.move_on_after(self._dial_s):
-                await sock.connect(split_address(place[1]))
-                link = self._make(place, Connection(sock, self._memory))
+                link = await self._connect(place)
             if link is None:
                 dial.failure = f"not up within {self._dial_s} s"
         except (OSError, NoMemory, ValueError) as error:  # ValueError: a listed address that is none
@@ -197,14 +197,35 @@
             del self._dialing[place]
             if link is None:
                 self.count -= 1
-                if sock is not None:
-                    sock.close()
             else:
                 self._links.setdefault(place, []).append(link)
             dial.done.set()
         if link is not None:
             await self._serve(place, link)
 
+    async def _connect(self, place: Place) -> L:
+        """A new connection. What fails for a reason of this machine is tried again a few times."""
+        retry_s = DIAL_RETRY_S
+        for _ in range(DIAL_RETRIES):
+            try:
+                return await self._connect_once(place)
+            except OSError as error:
+                if errors.concerns_peer(error):
+                    raise
+                log.info("dial of %s tried again: %s", place[1], error)
+            await trio.sleep(retry_s)
+            retry_s *= 2
+        return await self._connect_once(place)
+
+    async def _connect_once(self, place: Place) -> L:
+        sock = trio.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        try:
+            await sock.connect(split_address(place[1]))
+            return self._make(place, Connection(sock, self._memory))
+        except BaseException:
+            sock.close()
+            raise
+
     async def _serve(self, place: Place, link: L) -> None:
         try:
             await link.connection.serve(link.feed)
