Keep a newer own copy when an older or useless answer comes later

Callers were sent to stores for what had been held: an answer to another request, older, empty, too large or purged, took the held copy away (Copies.put dropped first). Evidence: test_an_older_answer_that_comes_later_does_not_replace_a_newer_copy failed before, passes now.

--- a/starlinghaven/routing/copies.py
+++ b/starlinghaven/routing/copies.py
@@ -70,12 +70,15 @@
     def put(self, ask: Ask, e: Ended, rank: int, asked_ms: float = -math.inf) -> None:
         """Keeps what was served to an attempt sent at `asked_ms`, unless a purge may concern it."""
         name = self._name(ask)
-        self._drop(name)
         given_ms = self._clock.earliest(e.since_ms)
         valid_as_of_ms = max(given_ms, asked_ms - self._cleared_within_ms)
         copy = Copy(e.body, e.tag, given_ms, valid_as_of_ms)
         if self._purged(ask, copy) or not e.body or copy.cost > self.limit // 4:
             return
+        held = self._kept[0].get(name) or self._kept[1].get(name)
+        if held is not None and held.given_ms > copy.given_ms:
+            return  # an older answer that came later
+        self._drop(name)
         self._kept[rank > 0][name] = copy
         self.held += copy.cost
         while self.held > self.limit:
--- a/tests/test_copies.py
+++ b/tests/test_copies.py
@@ -93,6 +93,17 @@
     assert p.served(), "given out after it"
 
 
+def test_an_older_answer_that_comes_later_does_not_replace_a_newer_copy() -> None:
+    proxy = Proxy()
+    proxy.ask(again=True)
+    late = proxy.stores.out.pop()
+    proxy.fetch(aged_s=1.0)
+    for body, aged_s in ((PART, 3.0), (b"", 0.0), (b"x" * 60_000, 0.0)):
+        proxy.copies.put(late.ask, Ended(late, i.Code.OK, body, since_ms=1000 * (proxy.time.s - aged_s)), 1)
+        held = proxy.copies.find(late.ask)
+        assert held is not None and held.given_ms == proxy.engine.clock.now() - 1000.0
+
+
 def test_a_copy_past_its_fresh_time_is_served_only_where_no_store_can() -> None:
     p = Proxy()
     p.fetch(PAGE, aged_s=11)
