--- a/starlinghaven/plugin/grpc_client.py
+++ b/starlinghaven/plugin/grpc_client.py
@@ -194,7 +194,8 @@
         self._call.answered(answer)
 
     def abandoned(self) -> None:
-        self._call.end(grpc.StatusCode.UNAVAILABLE, "the engine has ended")
+        """The engine ended without an answer: the call may have run, and nothing invites a retry."""
+        self._call.end(grpc.StatusCode.ABORTED, "the engine has ended; it may have run")
 
 
 def status_of(answer: Answer) -> tuple[grpc.StatusCode, str]:
