Forget no calls by hand when their file can not be read for a moment

Operators would see a store in use again that they had excluded: on EIO the file counted as empty, the look was not repeated, and the next call was written over what the other process had saved. What can't be read is looked at again, and nothing is written over it; a spoilt file leaves in force what was seen before. Evidence: test_calls_by_hand_are_not_forgotten_when_their_file_can_not_be_read_for_a_moment failed before, passes now.

--- a/starlinghaven/program/handover.py
+++ b/starlinghaven/program/handover.py
@@ -86,15 +86,16 @@
     # -- stores excluded by hand ------------------------------------------------------------------
 
     def _read(self) -> dict[str, Hand]:
+        """The calls in the folder; those seen before where the file is spoilt. Errors: OSError."""
         path = self._path("hand")
         try:
             raw = json.loads(path.read_text()) if path else {}
             return {store: Hand(store, bool(out), float(at)) for store, (out, at) in raw.items()}
         except FileNotFoundError:
             return {}
-        except (OSError, ValueError, TypeError, AttributeError) as error:
+        except (ValueError, TypeError, AttributeError) as error:
             log.error("what was excluded by hand can't be read: %s", error)
-            return {}
+            return dict(self._seen)
 
     def keep(self, hand: Hand) -> None:
         """Remembers a call for the other process and for the next one; tries again where it can't yet."""
@@ -104,7 +105,12 @@
 
     def _save(self, hand: Hand) -> bool:
         old = 1000.0 * (time.time() - KEPT_S)
-        hands = {s: h for s, h in (self._seen | self._read()).items() if h.out or h.unix_ms > old}
+        try:
+            saved = self._read()
+        except OSError as error:  # written over, it would lose what the other process saved
+            log.error("what was excluded by hand can't be read: %s", error)
+            return False
+        hands = {s: h for s, h in (self._seen | saved).items() if h.out or h.unix_ms > old}
         latest = max((h.unix_ms for h in hands.values()), default=-math.inf)
         hand.unix_ms = max(hand.unix_ms, latest + 1.0)  # in order, also where the wall clock steps back
         hands[hand.store] = hand
@@ -128,8 +134,13 @@
                 stamp = (found.st_mtime_ns, found.st_ino)
         if stamp is None or stamp == self._stamp:
             return []
+        try:
+            found_hands = self._read()
+        except OSError as error:  # looked at again at the next call
+            log.error("what was excluded by hand can't be read: %s", error)
+            return []
         self._stamp = stamp
-        before, self._seen = self._seen, self._read()
+        before, self._seen = self._seen, found_hands
         return [h for s, h in self._seen.items() if s not in before or before[s].unix_ms < h.unix_ms]
 
     async def run(self, engine: Engine) -> None:
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -81,6 +81,24 @@
     assert [hand.out for hand in other.news()] == [True]
 
 
+@in_trio
+async def test_calls_by_hand_are_not_forgotten_when_their_file_can_not_be_read_for_a_moment(
+    tmp_path: Path,
+) -> None:
+    one, other = Handover(str(tmp_path)), Handover(str(tmp_path))
+    one.keep(Hand(CACHE, True, 1000.0))
+
+    def broken(*_: object) -> None:
+        raise OSError(errno.EIO, "Input/output error")
+
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(Path, "read_text", broken)
+        assert other.news() == []
+        other.keep(Hand("s-00000009", True, 2000.0))
+    other.save_unsaved()
+    assert {hand.store for hand in Handover(str(tmp_path)).news()} == {CACHE, "s-00000009"}
+
+
 @in_trio
 async def test_operators_see_figures_and_take_a_store_out_and_back(tmp_path: Path) -> None:
     door = free_port()
