Say yes to a call by hand only once the next process will know of it

Operators heard SUCCESS for an exclusion that a full folder (ENOSPC, EIO) had not taken; after a kill within the next second the store was in use again. The call is in force at once as before, and tried again; until it is saved the console answers FAILURE with the reason. Evidence: test_operators_hear_no_yes_to_a_call_that_the_next_process_would_not_know_of failed before, passes now.

--- a/starlinghaven/program/console.py
+++ b/starlinghaven/program/console.py
@@ -89,7 +89,9 @@
         hand = Hand(call.store, out, 1000.0 * time.time())
         if not await self._told(hand):
             return console.no(f"{call.store} is not listed")
-        self._handover.keep(hand)  # before the yes: a successor must know of it from its first moment
+        if not self._handover.keep(hand):  # before the yes: a successor must know of it from its first moment
+            log.warning("%s %s by hand, not saved yet", call.store, call.verb)
+            return console.no(f"{call.store}: in force here, but not saved yet for the next process")
         log.info("%s %s by hand", call.store, "excluded" if out else "included")
         return console.yes(call.store)
 
--- a/starlinghaven/program/handover.py
+++ b/starlinghaven/program/handover.py
@@ -97,11 +97,16 @@
             log.error("what was excluded by hand can't be read: %s", error)
             return dict(self._seen)
 
-    def keep(self, hand: Hand) -> None:
-        """Remembers a call for the other process and for the next one; tries again where it can't yet."""
-        if not self._save(hand):
-            self._unsaved.append(hand)
-            self._save_again_at = trio.current_time() + SAVE_AGAIN_S
+    def keep(self, hand: Hand) -> bool:
+        """Remembers a call for the other process and for the next one; whether it is saved now.
+
+        What the folder does not take yet is tried again.
+        """
+        if self._save(hand):
+            return True
+        self._unsaved.append(hand)
+        self._save_again_at = trio.current_time() + SAVE_AGAIN_S
+        return False
 
     def _save(self, hand: Hand) -> bool:
         old = 1000.0 * (time.time() - KEPT_S)
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -99,6 +99,21 @@
     assert {hand.store for hand in Handover(str(tmp_path)).news()} == {CACHE, "s-00000009"}
 
 
+@in_trio
+async def test_operators_hear_no_yes_to_a_call_that_the_next_process_would_not_know_of(
+    tmp_path: Path,
+) -> None:
+    door, folder = free_port(), tmp_path / "gone"
+    async with program(tmp_path, LB_CONSOLE=f"127.0.0.1:{door}", TMPDIR=str(folder)) as p:
+        assert not (await operator(door, f"exclude {CACHE}"))[0].startswith("SUCCESS")
+        assert "excluded=1" in " ".join(await operator(door, "telemetry")), "it is in force here"
+        folder.mkdir()
+        await p.logged("nothing can be handed over")
+        while not (await operator(door, f"exclude {CACHE}"))[0].startswith("SUCCESS"):
+            await trio.sleep(0.05)
+        assert Handover(str(folder)).news()[0].out
+
+
 @in_trio
 async def test_operators_see_figures_and_take_a_store_out_and_back(tmp_path: Path) -> None:
     door = free_port()
