Split stores' roles, the load model and health out of the Router

Tests name the new places; one drew its settings by replacing an attribute of the Router and gives them at the start now, with the same figures.

--- a/starlinghaven/router.py
+++ b/starlinghaven/router.py
@@ -19,10 +19,13 @@
 from starlinghaven import interface as i
 from starlinghaven.decisions.cold import ColdBudgets
 from starlinghaven.decisions.execution import ExecutionRecord, Location
-from starlinghaven.decisions.fills import REPORT_MS, FillCounts, FillLink, report_weight
+from starlinghaven.decisions.fills import FillCounts
+from starlinghaven.decisions.health import Flight, StoreHealth
+from starlinghaven.decisions.load import LoadModel
 from starlinghaven.decisions.popularity import COUNTS, UNKEPT, Popularity
 from starlinghaven.decisions.purges import COUNTS_AS_KNOWN_MS, PurgeTable
-from starlinghaven.decisions.stores import FILL_SHARE, GRAVE, SICK, StoreState
+from starlinghaven.decisions.stores import SICK, StoreState
+from starlinghaven.decisions.topology import Topology
 
 # Placement.
 WIDE_FROM = 6  # caches from which gold has three homes, not two
@@ -32,26 +35,8 @@
 CALMER = 0.25  # ... if that one has at most this part of the load; less would only trade places. And more of
 # its share in the hash than this: one that errs at once looks calm, and all proxies together know better
 CALM = 1.0  # load up to which sending runs at full pace, so that answers tell their sending time
-HEADROOM = 0.75  # part of the aim that the predicted sending time may fill
-LEAST_LIMIT, MOST_LIMIT = 1.2, 4.0  # load from which a request is refused, at least and at most
 OWN_SHARE = 0.7  # part of the aim that sending an own copy may take: other transfers share that link
-AGAIN = 0.45  # part of that limit for a client's repeat: it has lost most of its time already
-BUSY = 0.8  # utilisation from which all requests held count as load, below in proportion
-FIRST_UNIT = 8.0  # transfers assumed to fit into a weight of 1 where weights tell nothing
-MEAN_STEP = 0.02  # weight of one answer in the mean sending time of its class
 
-FILL_PACE = 2.0  # times a client's pace at which a fill runs on a free link, at the least
-JAM_LEAST = 2.0  # link load below which fills go on
-
-# Health.
-SLIGHT = 0.1  # weight of a time-out or error
-WELL = 0.15  # ... if another has at most this share, else the cause is shared
-CLEARLY = 0.5  # ... or at most this part of its share: beside one that seems dead, the other need only live
-VOICES = 2  # other proxies that make a store suspect here: one may be sick itself
-REST_MOST_MS = 4_000.0  # ms that a store rests at most; doubled each time up to it
-TRIAL = 2  # attempts out at once at a store on trial after its rest
-
-UNCLEAR = (i.Code.TIMEOUT, i.Code.ERROR, i.Code.FULL)  # store and source may both be to blame
 
 # Attempts.
 FIRST_SHARE = 0.85  # part of the patience that an attempt may take while another can follow
@@ -83,15 +68,6 @@
     return Location(store.m.zone, store.m.cell)
 
 
-class _Flight:
-    """One attempt that is out."""
-
-    __slots__ = ("store", "source", "calm", "late")
-
-    def __init__(self, store: str, source: str, calm: bool) -> None:
-        self.store, self.source, self.calm, self.late = store, source, calm, False
-
-
 class _Job:
     """A request that is owed its final answer."""
 
@@ -106,7 +82,7 @@
         self.streams = False
         self.execution = ExecutionRecord(cls, second_copies)
         self.tried, self.used = list[str](), list[str]()  # stores and sources that failed this request
-        self.errors = list[_Flight]()  # attempts that ended in an error
+        self.errors = list[Flight]()  # attempts that ended in an error
         self.tier, self.held_only = UNKEPT, False  # held_only: no fill, only a copy that a cache holds
 
 
@@ -117,26 +93,23 @@
         i.validate(settings)
         self.s, self.now = settings, now
         self.random = random.Random(seed)
-        self.stores: OrderedDict[str, StoreState] = OrderedDict()
-        self.caches: list[StoreState] = []  # those of the own zone that are up; set with each list
-        self.parents, self.origins = list[StoreState](), list[StoreState]()
+        self.topology = Topology(settings)
         self.ranked_for: OrderedDict[tuple[object, ...], list[StoreState]] = OrderedDict()
         self.jobs: dict[int, _Job] = {}
-        self.flights: OrderedDict[tuple[int, int], _Flight] = OrderedDict()
+        self.flights: OrderedDict[tuple[int, int], Flight] = OrderedDict()
         self.waiting: list[deque[tuple[float, tuple[int, int]]]] = [deque() for _ in settings.classes]
         self.popularity = Popularity(self.random, now)
         self.cold = ColdBudgets(settings, self.random, now)
         self.spread = i.Spread()  # what all proxies together counted
         self.purges = PurgeTable(TABLE, settings.purge_done_ms + PURGE_MARGIN_MS)
         self.news_at = math.inf  # every purge up to then is known; for ever, where nobody says otherwise
-        self.fills, self.link = FillCounts(now), FillLink()
+        self.fills = FillCounts(now)
+        self.load = LoadModel(settings, self.topology, self.cold)
+        self.health = StoreHealth(settings, self.topology, self.fills, self.random)
         self.purse = PURSE / 2
         self.wins = WINS  # share of second copies that won, lately
-        self.sending = [0.0] * len(settings.classes)  # mean sending time of a class, once seen
-        self.unit = 1.0 if settings.weights in (i.Weights.NOMINAL, i.Weights.ROUGH) else FIRST_UNIT
         self.watching = not settings.asks_for_list
         self.delayed: dict[int, int] = {}  # timer token -> request
-        self.told: set[str] = set()  # stores that other proxies were told to be silent
         self.token = WATCH_TOKEN
 
     def handle(self, event: i.Event, now: float) -> list[i.Action]:
@@ -168,7 +141,7 @@
                 self._call_off(self.jobs.pop(event.request, None), out)
             case i.Probed():
                 if store := self.stores.get(event.store):
-                    self._learn(store, event.report)
+                    self.load.learn(store, event.report, self.now)
             case i.Timer():
                 self._due(event.token, out)
             case i.Heard():
@@ -177,40 +150,44 @@
             case i.Spread():
                 self._take_spread(event)
         if self.s.tells:
-            self._tell(out)
+            out += self.health.announcements(self.now)
         return out
 
+    @property
+    def stores(self) -> OrderedDict[str, StoreState]:
+        """All listed stores that are not gone, by name."""
+        return self.topology.stores
+
+    @property
+    def caches(self) -> list[StoreState]:
+        """The caches of the own zone that take new work."""
+        return self.topology.caches
+
     def capacities(self) -> dict[str, float]:
         """Transfers at full pace of each cache of the own zone that is up."""
-        return {s.m.store: self.unit * self._weight(s) for s in self.caches}
+        return {s.m.store: self.load.full_capacity(s) for s in self.caches}
 
-    def _tell(self, out: list[i.Action]) -> None:
-        """Tells other proxies of stores that begin to rest here, and of those that are well again."""
-        ill = {n for n, s in self.stores.items() if s.bad >= (SICK / 2 if n in self.told else SICK)}
-        ill &= self.told | self.resting()
-        out += [i.Tell(n, n in ill) for n in sorted(ill ^ self.told) if n in self.stores]
-        self.told = ill
+    def resting(self) -> set[str]:
+        """Names of the stores that are stepped over just now."""
+        return self.health.resting(self.now)
 
     # -- placement ----------------------------------------------------------------------------
 
     def _ranking(self, role: list[StoreState], *words: object) -> list[StoreState]:
         """Rendezvous hashing of a role's stores, by weight where weights mean something; remembered."""
-        name = (role is self.parents, *words)
+        name = (role is self.topology.parents, *words)
         if name in self.ranked_for:
             self.ranked_for.move_to_end(name)
             return self.ranked_for[name]
 
         def height(s: StoreState) -> float:
-            return s.share * self._weight(s) / -math.log(_digest(s.m.store, *words))
+            return s.share * self.load.weight(s) / -math.log(_digest(s.m.store, *words))
 
         ranked = self.ranked_for[name] = sorted(role, key=height, reverse=True)
         if len(self.ranked_for) > COUNTS:
             self.ranked_for.popitem(last=False)
         return ranked
 
-    def _weight(self, s: StoreState) -> float:
-        return s.m.weight if self.s.weights in (i.Weights.NOMINAL, i.Weights.ROUGH) else 1.0
-
     def _homes(self, job: _Job) -> list[StoreState]:
         """Caches for a request, the one to take first: the homes of its object, then by its part.
 
@@ -218,7 +195,7 @@
         that every proxy finds the passed-on part at the same next cache and hot objects are spread.
         """
         r = job.r
-        well = self._well(self._ranking(self.caches, r.key))
+        well = self.health.usable(self._ranking(self.caches, r.key), self.now)
         wide, turn = self._wide(r.key), 0
         if r.key in self.popularity.gold:
             wide = max(wide, 3 if len(self.caches) >= WIDE_FROM else 2)
@@ -231,10 +208,12 @@
         homes = homes[turn % len(homes) :] + homes[: turn % len(homes)] if homes else []
         others = self._ranking(self.caches, r.key, r.part)
         order = homes + [s for s in others if s not in homes and s in well]
-        order = [s for s in order if s.m.store not in job.tried and self._affordable(s, job)]
-        if order and self._load(order[0]) > CROWDED:
-            bound = CALMER * self._load(order[0])
-            calm = next((s for s in order[1:] if self._load(s) <= bound and s.share > CALMER), order[0])
+        order = [s for s in order if s.m.store not in job.tried and self.load.affordable(s, job.r, self.now)]
+        if order and self.load.load(order[0], self.now) > CROWDED:
+            bound = CALMER * self.load.load(order[0], self.now)
+            calm = next(
+                (s for s in order[1:] if self.load.load(s, self.now) <= bound and s.share > CALMER), order[0]
+            )
             order = [calm] + [s for s in order if s is not calm]
         return order
 
@@ -252,114 +231,21 @@
 
     def _sources(self, job: _Job) -> list[StoreState]:
         """Where a miss may be filled from: parents that are reached, by the hash, then the origin."""
-        well = self._well(self._ranking(self.parents, job.r.key))
-        fit = [s for s in well if self._affordable(s, job) and not (s.lost and s.until > self.now)]
-        return [s for s in fit + self.origins if s.m.store not in job.used]
-
-    # -- health and load ----------------------------------------------------------------------
-
-    def _well(self, stores: list[StoreState]) -> list[StoreState]:
-        """Those not resting. Guards against a server that hangs, errs or cannot be reached.
+        well = self.health.usable(self._ranking(self.topology.parents, job.r.key), self.now)
+        fit = [
+            s
+            for s in well
+            if self.load.affordable(s, job.r, self.now) and not (s.lost and s.until > self.now)
+        ]
+        return [s for s in fit + self.topology.origins if s.m.store not in job.used]
 
-        A store rests only while another is clearly better: trouble that all share (a full link, a
-        slow origin) is not theirs, and the hash is trusted then. The other need not be faultless: its
-        share grows with what it takes over, and with what all share (fills of flushed caches).
-        """
-        fit = []
-        for s in stores:
-            if s.failed_at > s.until and self._worse(s, stores):
-                spread = 0.5 + self.random.random()  # not all proxies of a location at once
-                s.until, s.rest = self.now + spread * s.rest, min(2 * s.rest, REST_MOST_MS)
-            on_trial = s.until > -math.inf and s.bad >= SICK / 2
-            if self.now >= s.until and not (on_trial and s.out + s.lent >= TRIAL):
-                fit.append(s)
-        return fit or stores
-
-    def resting(self) -> set[str]:
-        """Names of the stores that are stepped over just now."""
-        return {name for name, s in self.stores.items() if s.until > self.now}
+    # -- attempts that are late -------------------------------------------------------------------
 
     def _overdue(self) -> None:
-        """Blames an attempt at its aim, long before its time-out.
-
-        Guards against stores and sources that hang or lose answers: their time-outs come seconds late.
-        Does no harm when all are slow, since only the worst of its peers rests.
-        """
         for waiting in self.waiting:
             while waiting and waiting[0][0] <= self.now:
                 if flight := self.flights.get(waiting.popleft()[1]):
-                    flight.late = True
-                    self._blame(flight)
-                    self._filled(flight, 0.0)
-
-    def _blame(self, flight: _Flight) -> None:
-        for name in dict.fromkeys((flight.store, flight.source)):
-            if suspect := self.stores.get(name):
-                suspect.failed(SLIGHT, self.now)
-
-    def _judge(self, flight: _Flight, o: i.Outcome) -> None:
-        """Gives the blame for an outcome to the store, to its source, or to both a little.
-
-        A time-out before the aim tells only that the client was in a hurry: nobody was slow.
-        """
-        if o.code is i.Code.ERROR or o.code is i.Code.TIMEOUT and not flight.late:
-            return  # whether an error is the store's shows when another one serves the request
-        store = self.stores.get(flight.store)
-        source = self.stores.get(flight.source) if flight.source != flight.store else None
-        if not flight.late and o.note not in (i.Note.HIT, i.Note.STALE):
-            if o.code is i.Code.OK or o.code in UNCLEAR:
-                self._filled(flight, float(o.code is i.Code.OK))
-        if o.code is i.Code.OK:
-            if store and not flight.late:
-                store.worked(GRAVE)
-            if source and self.s.notes is i.Notes.NONE:
-                source.worked(SLIGHT * FILL_SHARE)
-            elif source and o.note in (i.Note.FILLED, i.Note.FILLED_FROM_ORIGIN):
-                source.worked(SLIGHT)
-        elif o.code in (i.Code.NO_CONNECTION, i.Code.RESET):
-            if store:  # a reset may be one lost answer: a store that is down does not take the next one
-                unreached = o.code is i.Code.NO_CONNECTION
-                store.failed(GRAVE if unreached else SLIGHT, self.now)
-                store.unreached_at = self.now if unreached else store.unreached_at
-        elif o.note in (i.Note.SOURCE_REFUSED, i.Note.SOURCE_UNREACHED):
-            if source:
-                source.failed(GRAVE if o.note is i.Note.SOURCE_UNREACHED else SLIGHT, self.now)
-        elif o.note is i.Note.NONE and o.code in UNCLEAR and not flight.late:
-            self._blame(flight)
-
-    def _learn(self, store: StoreState, report: object) -> None:
-        if isinstance(report, dict) and "inflight" in report:
-            step = report_weight(self.now - store.reported_at)
-            store.others += step * (float(report["inflight"]) - store.out - store.others)  # below 0 by lag
-            store.reported_at = self.now
-        if isinstance(report, dict) and ("hits" in report or "util" in report):
-            step, store.heard = report_weight(self.now - store.heard), self.now
-            store.busy += step * (min(float(report.get("util", 1.0)) / BUSY, 1.0) - store.busy)
-            store.hits += step * (float(report.get("hits", 1 - FILL_SHARE)) - store.hits)
-        if isinstance(report, dict) and "link" in report and store.m.kind != self.s.parent_kind:
-            self.link.report(float(report["link"]), self.now)
-
-    def _filled(self, flight: _Flight, timely: float) -> None:
-        """Counts fills, and those in time; where no note tells which were fills, by the share of hits.
-
-        Those of a cache that is worse than its peers tell of the cache: they must not stop others' fills.
-        """
-        store, source = self.stores.get(flight.store), self.stores.get(flight.source)
-        alone = store and store.bad > 2 * WELL and min((p.bad for p in self.caches), default=1.0) <= WELL
-        alone = alone or source in self.parents and self._worse(source, self.parents)
-        if store and not alone and flight.source not in ("", flight.store):
-            hits = store.hits if self.s.notes is i.Notes.NONE else 0.0
-            self.fills.count(timely, hits, self.now)
-
-    @staticmethod
-    def _worse(s: StoreState | None, peers: list[StoreState]) -> bool:
-        """Whether a store is sick and clearly worse than the best of its peers: the trouble is its own.
-
-        Where other proxies name it silent, less of the own evidence will do; without any they are not heeded.
-        """
-        best = min((p.bad for p in peers if p is not s), default=1.0)
-        sick = WELL if s is not None and s.named >= VOICES else SICK
-        return s is not None and s.bad >= sick and (s.lost or best <= max(WELL, CLEARLY * s.bad))
+                    self.health.overdue(flight, self.now)
 
     def _late_fill(self, job: _Job) -> bool:
         """Whether a fill would come too late, for the location's link or for its source.
@@ -372,66 +258,7 @@
         """
         if self.random.random() < self.fills.surplus:
             return True
-        return self._link_full(job)
-
-    def _link_full(self, job: _Job) -> bool:
-        """Whether the location's link is too full for a fill in time: a parent's copy comes over it too."""
-        bound = HEADROOM * FILL_PACE * (job.c.target_ms / self._work(job) + job.c.stretch)
-        bound *= AGAIN if job.r.again else 1.0
-        return self.link.over(max(bound, JAM_LEAST), self.now)
-
-    def _capacity(self, s: StoreState) -> float:
-        """Transfers that a store can send at full pace at this moment."""
-        return max(self.unit * self._weight(s) * self._warmth(s), 0.01)
-
-    def _load(self, s: StoreState) -> float:
-        """Requests held that keep a store busy, over its capacity; those that wait for fills do not."""
-        return self._held(s) * s.busy
-
-    def _held(self, s: StoreState) -> float:
-        """Requests held over capacity; a cache not heard of lately is taken to be as full as its peers."""
-        proxies, capacity = self._sharers(s), self._capacity(s)
-        if proxies == 1 or self.now - s.reported_at < REPORT_MS:
-            return (s.out + (max(s.others, 0.0) if proxies > 1 else 0.0)) / capacity
-        peers = self.caches if s in self.caches else [s]
-        told = [p for p in peers if self.now - p.reported_at < REPORT_MS]
-        if told:  # the middle one: a cache that reports nonsense must not make all seem full
-            others = sorted(max(p.others, 0.0) / self._capacity(p) for p in told)
-            return s.out / capacity + others[len(others) // 2]
-        return (s.out + sum(p.out for p in peers) / len(peers) * (proxies - 1)) / capacity
-
-    def _limit(self, job: _Job) -> float:
-        """The load at which a request is predicted to miss its aim: long ones are refused first."""
-        limit = HEADROOM * (job.c.target_ms / self._work(job) + job.c.stretch)
-        return min(max(limit, LEAST_LIMIT), MOST_LIMIT) * (AGAIN if job.r.again else 1.0)
-
-    def _work(self, job: _Job, whole: bool = False) -> float:
-        """Sending time of a request at full pace, by its own size where told; whole: or the mean if more."""
-        pace, mean = self.s.pace_kb_per_s, self._mean(job.r.cls)
-        own = 1000.0 * job.r.size_kb / pace if pace else 0.0
-        return max(own, mean) if whole else own or mean
-
-    def _mean(self, cls: int) -> float:
-        return self.sending[cls] or self.s.classes[cls].target_ms
-
-    # -- cold budgets -------------------------------------------------------------------------
-
-    def _warmth(self, s: StoreState) -> float:
-        return self.cold.warmth(s, self.now)
-
-    def _sharers(self, s: StoreState) -> int:
-        return self.cold.sharers(s)
-
-    def _share(self, s: StoreState) -> float:
-        return self.cold.share(s, self._capacity(s))
-
-    def _affordable(self, s: StoreState, job: _Job) -> bool:
-        cost = self._work(job, whole=True)
-        largest_mean = max(self._mean(c) for c in range(len(self.s.classes)))
-        return self.cold.allows(s, self._capacity(s), cost, largest_mean, self.now)
-
-    def _spend(self, s: StoreState, job: _Job, at: float) -> None:
-        self.cold.spend(s, self._capacity(s), self._work(job, whole=True), at, self.now)
+        return self.load.link_full(job.r, self.now)
 
     # -- members and purges -------------------------------------------------------------------
 
@@ -440,25 +267,7 @@
             if self.s.asks_for_list:
                 out.append(i.SetTimer(LIST_RETRY_MS * (1 + self.random.random()), WATCH_TOKEN))
             return
-        if event.kind is not i.ListKind.PARTIAL:
-            listed = {m.store for m in event.entries}
-            for name in [n for n in self.stores if n not in listed]:
-                del self.stores[name]
-        for m in event.entries:
-            known = self.stores.get(m.store)
-            if m.phase is i.Phase.GONE:
-                self.stores.pop(m.store, None)
-            elif known is None or known.m.started_ms != m.started_ms:
-                self.stores[m.store] = StoreState(m)
-                if known:
-                    self.stores[m.store].out, self.stores[m.store].lent = known.out, known.lent
-            else:
-                known.m = m
-        up = [s for s in self.stores.values() if s.m.phase is i.Phase.UP]
-        behind = (self.s.origin_kind, self.s.parent_kind)
-        self.caches = [s for s in up if s.m.kind not in behind and s.m.zone == self.s.zone]
-        self.parents = [s for s in up if s.m.kind == self.s.parent_kind]
-        self.origins = [s for s in up if s.m.kind == self.s.origin_kind]
+        self.topology.update(event)
         self.ranked_for.clear()
 
     def _purged_at(self, r: i.Request) -> float | None:
@@ -482,8 +291,8 @@
             self.popularity.count(r.key, r.part == 0, self.now)
         job.tier = self.popularity.rank(r.key, hot=self._wide(r.key) > 1)
         if r.size_kb and self.s.pace_kb_per_s:
-            self._size(r.cls, self._work(job))
-        if self._own(job, OWN_SHARE * (job.c.target_ms + job.c.stretch * self._work(job))):
+            self.load.observe(r.cls, self.load.work(job.r))
+        if self._own(job, OWN_SHARE * (job.c.target_ms + job.c.stretch * self.load.work(job.r))):
             return self._serve(job, out)
         self._attempt(job, out)
 
@@ -501,10 +310,6 @@
         del self.jobs[job.r.id]
         out.append(i.Serve(job.r.id, self._unserved(job)))
 
-    def _size(self, cls: int, ms: float) -> None:
-        mean = self.sending[cls]
-        self.sending[cls] = mean + MEAN_STEP * (ms - mean) if mean else (ms + self._mean(cls)) / 2
-
     def _attempt(self, job: _Job, out: list[i.Action]) -> None:
         """Makes the next attempt, or gives the request up at once."""
         left = job.deadline - self.now
@@ -512,7 +317,7 @@
             return self._give_up(job, out)
         sources = self._allowed(job, self._sources(job))
         if job.c.uncached:
-            origin = [s for s in sources if s in self.origins]
+            origin = [s for s in sources if s in self.topology.origins]
             if not origin:
                 return self._give_up(job, out)
             if self.s.direct:
@@ -521,9 +326,9 @@
             return self._go(job, homes[0], origin[0], out) if homes else self._give_up(job, out)
         homes = self._allowed(job, self._homes(job))
         if job.sent == 0:
-            if homes and self._load(homes[0]) > self._limit(job):
+            if homes and self.load.load(homes[0], self.now) > self.load.limit(job.r):
                 return self._give_up(job, out)
-            waits = bool(homes) and self._held(homes[0]) > self._limit(job)
+            waits = bool(homes) and self.load.held(homes[0], self.now) > self.load.limit(job.r)
             job.held_only = waits or self._late_fill(job)
         if job.held_only:
             return self._go(job, homes[0], homes[0], out) if homes else self._give_up(job, out)
@@ -538,7 +343,7 @@
 
         Guards against clients in a hurry: what can't be sent in their time is refused before it costs any.
         """
-        told = self._work(job) if job.r.size_kb else 0.0
+        told = self.load.work(job.r) if job.r.size_kb else 0.0
         return max(LEAST_WORK * told, LAST_MS if job.sent else 0.0)
 
     def _allowed(self, job: _Job, stores: list[StoreState]) -> list[StoreState]:
@@ -564,25 +369,25 @@
             if (made := self._purged_at(r)) is not None:
                 bound = max(self.now - made - PURGE_MARGIN_MS, 1.0)
                 age, join = min(age, bound) if age else bound, join and bound > PURGE_MARGIN_MS
-            source = source or (self.origins[0] if self.origins else store)
+            source = source or (self.topology.origins[0] if self.topology.origins else store)
             renew = bool(job.c.fresh_ms) and self._purged_at(r) is None
             keep = UNKEPT if job.c.uncached else job.tier
             out.append(i.Get(r.id, store.m.store, timeout, source.m.store, keep, age, join, renew, begin))
             if source is not store:
-                self._spend(source, job, self.now)
+                self.load.spend(source, job.r, self.now, self.now)
                 source.lent += 1
-        self._spend(store, job, self.now + (0.0 if store.up else self.s.dial_ms))
-        calm = source is not None and self._load(store) < CALM
-        self.flights[r.id, job.sent] = _Flight(store.m.store, source.m.store if source else "", calm)
+        self.load.spend(store, job.r, self.now + (0.0 if store.up else self.s.dial_ms), self.now)
+        calm = source is not None and self.load.load(store, self.now) < CALM
+        self.flights[r.id, job.sent] = Flight(store.m.store, source.m.store if source else "", calm)
         if len(self.flights) > TABLE:
             self.flights.popitem(last=False)
-        aim = min(job.c.target_ms + job.c.stretch * self._mean(r.cls), job.c.give_up_ms)  # on average
+        aim = min(job.c.target_ms + job.c.stretch * self.load.mean(r.cls), job.c.give_up_ms)  # on average
         self.waiting[r.cls].append((self.now + aim, (r.id, job.sent)))
         store.out += 1
         job.sent += 1
         job.open += 1
         if job.sent == 1 and source and self.s.second_copies and job.c.effect is i.Effect.SAFE:
-            work = self._work(job)
+            work = self.load.work(job.r)
             wait = max(job.c.target_ms + (job.c.stretch - COPY_WORKS) * work, COPY_WORKS * work)
             if wait + LAST_MS < left:
                 out.append(self._timer(job, wait))
@@ -606,14 +411,14 @@
             return
         self.wins -= WINS_STEP * self.wins  # until it wins
         store = next((s for s in self.caches if s.m.store == flight.store), None)
-        if store and store.bad < SICK / 2 and self._affordable(store, job):
+        if store and store.bad < SICK / 2 and self.load.affordable(store, job.r, self.now):
             self.purse -= CHEAP
             return self._go(job, store, store, out)
         self.purse -= 1
         job.used.append(flight.source)
         job.tried.append(flight.store)
         homes, sources = self._homes(job), self._sources(job)
-        if homes and self._load(homes[0]) <= self._limit(job):
+        if homes and self.load.load(homes[0], self.now) <= self.load.limit(job.r):
             self._go(job, homes[0], homes[0] if job.held_only or not sources else sources[0], out)
 
     def _ended(self, o: i.Outcome, out: list[i.Action]) -> None:
@@ -624,21 +429,21 @@
         if store := self.stores.get(flight.store):
             store.out = max(0, store.out - 1)
             store.up = o.code in i.ANSWERED
-            self._learn(store, o.report)
+            self.load.learn(store, o.report, self.now)
         if flight.source != flight.store and (source := self.stores.get(flight.source)):
             source.lent = max(0, source.lent - 1)
-        self._judge(flight, o)
+        self.health.judge(flight, o, self.now)
         if job is None:
             return
         if o.code is i.Code.OK and flight.calm and not job.r.size_kb:
-            self._size(job.r.cls, o.took_ms)
+            self.load.observe(job.r.cls, o.took_ms)
         job.open -= 1
         job.execution.end(o.attempt, o.code)
         if o.code is i.Code.ERROR:
             job.errors.append(flight)
         elif o.code is i.Code.OK:
             for erred in job.errors:
-                self._blame(erred)
+                self.health.blame(erred, self.now)
         if o.final:
             del self.jobs[o.request]
             if o.code is i.Code.OK and not flight.late:
@@ -648,7 +453,7 @@
             return
         self._again(job, flight, o, out)
 
-    def _again(self, job: _Job, flight: _Flight, o: i.Outcome, out: list[i.Action]) -> None:
+    def _again(self, job: _Job, flight: Flight, o: i.Outcome, out: list[i.Action]) -> None:
         """After a failed attempt: another one if it is safe, in time and within the budget."""
         left = job.deadline - self.now
         if job.open or job.streams:
@@ -674,15 +479,15 @@
             job.used.append(flight.source)
         self._attempt(job, out)
 
-    def _behind(self, job: _Job, flight: _Flight, out: list[i.Action]) -> None:
+    def _behind(self, job: _Job, flight: Flight, out: list[i.Action]) -> None:
         """After a cache lacks what only a held copy could serve, the parent is asked for its own copy.
 
         Guards against jams behind the caches (a slow origin, flushed caches): a parent still holds much
         and sends it at once, where a fill would wait for the origin. Cheap: it costs no fill.
         """
-        parents = [s for s in self._allowed(job, self._sources(job)) if s in self.parents]
-        none = not parents or flight.store in (p.m.store for p in self.parents)
-        if not self.s.direct or none or self._link_full(job) or parents[0].bad >= SICK / 2:
+        parents = [s for s in self._allowed(job, self._sources(job)) if s in self.topology.parents]
+        none = not parents or flight.store in (p.m.store for p in self.topology.parents)
+        if not self.s.direct or none or self.load.link_full(job.r, self.now) or parents[0].bad >= SICK / 2:
             return self._give_up(job, out)
         self.purse -= CHEAP
         self._go(job, parents[0], parents[0], out)
@@ -712,7 +517,7 @@
             self.wins, self.purse = self.wins + WINS_STEP, min(PURSE, self.purse + CHEAP)
             if not first.late:
                 first.late = True
-                self._blame(first)
+                self.health.blame(first, self.now)
 
     def _due(self, token: int, out: list[i.Action]) -> None:
         if token == WATCH_TOKEN and self.s.asks_for_list:
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -6,7 +6,7 @@
 from dataclasses import replace
 
 from starlinghaven import router as module
-from starlinghaven.decisions import stores
+from starlinghaven.decisions import health, stores
 from starlinghaven.decisions.fills import FILLS_MS, REPORT_MS, FillLink
 from starlinghaven.interface import (
     Action,
@@ -41,7 +41,7 @@
     for _ in range(20):
         report(d, "cache-0", 25.0)
     d.router.stores["cache-0"].out = 3
-    assert d.router._load(d.router.stores["cache-0"]) == 3 / 6
+    assert d.router.load.load(d.router.stores["cache-0"], d.router.now) == 3 / 6
 
 
 def test_reports_that_swing_around_the_truth_leave_no_phantom_load() -> None:
@@ -71,7 +71,7 @@
     assert d.get(d.ask(mine[20])).source == "parent-1"
     for n, got in enumerate(sent):
         d.say(Outcome(d.next_id - 12 + n, 0, got.store, Code.TIMEOUT, 5000.0))
-    d.now += module.REST_MOST_MS
+    d.now += health.REST_MOST_MS
     for _ in range(40):
         got = d.get(d.ask(mine[21]))
         d.end(store=got.store, note=Note.FILLED)
@@ -91,7 +91,7 @@
             other.worked(0.3)
         for s in d.router.caches:
             s.bad = 0.0
-    assert dead.bad >= 0.8 and other.bad > module.WELL
+    assert dead.bad >= 0.8 and other.bad > health.WELL
     assert {d.get(d.ask(f"new-{n}")).source for n in range(20)} == {"parent-1"}
 
 
@@ -109,14 +109,14 @@
     homes = {f"x-{n}": d.serve(f"x-{n}").store for n in range(6)}
     for store in d.router.stores.values():
         for _ in range(5 if store.m.store == "cache-0" else 3):
-            store.failed(module.SLIGHT * 2, d.now)
+            store.failed(health.SLIGHT * 2, d.now)
     assert d.router.stores["cache-0"].bad >= stores.SICK
     assert all(d.get(d.ask(key)).store == home for key, home in homes.items())
 
 
 def test_through_a_jammed_link_only_held_copies_are_asked_for() -> None:
     d = Driver()
-    d.router.link = FillLink(30.0, d.now)
+    d.router.load.link = FillLink(30.0, d.now)
     got = d.get(d.ask("x", cls=PAGE))
     assert got.source == got.store, "no fill"
     assert got.age_ms == CLASSES[PAGE].fresh_ms + CLASSES[PAGE].grace_ms
@@ -147,7 +147,7 @@
 
 def test_no_parent_is_asked_behind_a_jammed_link_or_when_it_is_on_trial() -> None:
     d = Driver()
-    d.router.link = FillLink(30.0, d.now)  # a parent's copy comes over that link too
+    d.router.load.link = FillLink(30.0, d.now)  # a parent's copy comes over that link too
     got = d.get(d.ask("x", cls=PAGE))
     assert d.end(code=Code.MISS, store=got.store) == [Refuse(d.next_id, 1000)]
     d = Driver()
@@ -193,7 +193,7 @@
 
 def test_no_request_passes_cold_caches_by_through_a_jammed_link() -> None:
     d = Driver(fleet=(cache(0, started_ms=START, weight=0.1), *FLEET[4:]))
-    d.router.link = FillLink(30.0, d.now)
+    d.router.load.link = FillLink(30.0, d.now)
     assert isinstance(d.ask("x")[0], Refuse)
     d.now += REPORT_MS
     assert d.get(d.ask("x")).store.startswith("parent")
@@ -313,7 +313,7 @@
             d.now += 50
         back.add(d.now)
     assert len(back) >= 6
-    assert max(back) - START <= 1.5 * module.REST_MOST_MS
+    assert max(back) - START <= 1.5 * health.REST_MOST_MS
 
 
 def test_a_cache_that_ages_is_left_by_its_load_and_taken_again_after_its_restart() -> None:
@@ -412,7 +412,7 @@
     sick, other = d.router.stores["parent-0"], d.router.stores["parent-1"]
     sick.failed(0.6, d.now)
     other.failed(0.3, d.now)
-    assert stores.SICK <= sick.bad < 0.8 and other.bad > module.WELL
+    assert stores.SICK <= sick.bad < 0.8 and other.bad > health.WELL
     assert {d.get(d.ask(f"new-{n}")).source for n in range(20)} == {"parent-1"}
 
 
--- a/tests/test_fleet_news.py
+++ b/tests/test_fleet_news.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from starlinghaven import router as module
+from starlinghaven.decisions import health
 from starlinghaven.interface import Action, Heard, ListKind, Members, Notes, Tell, Timer
 from tests.helpers import Driver, cache, stores_named
 
@@ -21,9 +21,9 @@
     d = Driver(tells=True)
     d.router.stores["parent-0"].failed(0.3, d.now)  # two late answers or so: below SICK
     assert sources(d) == {"parent-0", "parent-1"}
-    d.say(Heard("parent-0", silent=module.VOICES - 1, serving=0))
+    d.say(Heard("parent-0", silent=health.VOICES - 1, serving=0))
     assert sources(d) == {"parent-0", "parent-1"}, "one voice may be that of a sick proxy"
-    d.say(Heard("parent-0", silent=module.VOICES, serving=0))
+    d.say(Heard("parent-0", silent=health.VOICES, serving=0))
     assert sources(d) == {"parent-1"}
 
 
--- a/tests/test_largest.py
+++ b/tests/test_largest.py
@@ -61,7 +61,7 @@
 
 
 def test_the_count_tells_a_router_that_refuses_by_size(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(Router, "_least", lambda self, job: 4.0 * self._work(job))
+    monkeypatch.setattr(Router, "_least", lambda self, job: 4.0 * self.load.work(job.r))
     got = answered(0.45, 0)[0]
     largest = sorted(got)[-len(got) // 10 :]
     assert sum(served for _, served in largest) / len(largest) < 2 / 3 * sum(s for _, s in got) / len(got)
--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -146,13 +146,13 @@
     got = Driver.get(d.ask("a1"))
     d.end(code=i.Code.NO_CONNECTION, store=got.store)
     store = d.router.stores[got.store]
-    assert d.router._warmth(store) == 1.0, "the log would tell"
+    assert d.router.cold.warmth(store, d.router.now) == 1.0, "the log would tell"
     d.now += COUNTS_AS_KNOWN_MS + 100
     d.say(i.Timer(-5))
-    assert d.router._warmth(store) < 1.0, "nobody told, but it counts as known"
-    assert all(d.router._warmth(s) == 1.0 for s in d.router.caches if s is not store)
+    assert d.router.cold.warmth(store, d.router.now) < 1.0, "nobody told, but it counts as known"
+    assert all(d.router.cold.warmth(s, d.router.now) == 1.0 for s in d.router.caches if s is not store)
     d.say(i.NewsCurrent(0.0))
-    assert d.router._warmth(store) == 1.0, "the log is current again and tells of no start"
+    assert d.router.cold.warmth(store, d.router.now) == 1.0, "the log is current again and tells of no start"
 
 
 def proxy() -> tuple[Engine, Time, Stores]:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -193,17 +193,19 @@
 
 def test_the_largest_requests_get_to_a_cold_cache_too_one_a_window() -> None:
     """By the rule each counts with its class's mean; by their own size they were over every share."""
-    d = Driver(tuple(replace(m, started_ms=START) if m.store == "cache-0" else m for m in FLEET))
-    d.router.s = replace(d.router.s, pace_kb_per_s=5000.0)
-    d.router.sending[0] = 400.0
+    fleet = tuple(replace(m, started_ms=START) if m.store == "cache-0" else m for m in FLEET)
+    d = Driver(fleet, pace_kb_per_s=5000.0)
+    d.router.load.sending[0] = 400.0
     named = []
     for n in range(60):
         d.now = START + SETTINGS.fall_ms + 50 * n
         if "cache-0" in stores_named(d.ask(f"o-{n}", patience=90_000.0, size_kb=60_000.0)):
             named.append(d.now)
         d.end(code=Code.CANCELLED, final=True)
-        d.router.sending[0] = 400.0
-    assert 12_000 > d.router._share(d.router.stores["cache-0"]), "each is larger than the share"
+        d.router.load.sending[0] = 400.0
+    assert 12_000 > d.router.cold.share(
+        d.router.stores["cache-0"], d.router.load.capacity(d.router.stores["cache-0"], d.router.now)
+    ), "each is larger than the share"
     assert len(named) >= 2, "it is not starved"
     assert all(b - a >= SETTINGS.fall_ms for a, b in zip(named, named[1:], strict=False))
 
@@ -217,15 +219,20 @@
     d = Driver(
         tuple(replace(m, started_ms=START) if m.store == "cache-0" else m for m in FLEET), dial_ms=dial
     )
-    d.router.sending[0] = 400.0
+    d.router.load.sending[0] = 400.0
     named, shares = [], []
     for n in range(200):
         d.now = START + SETTINGS.fall_ms + 20 * n
         if "cache-0" in stores_named(d.ask(f"o-{n}", patience=90_000.0)):
             named.append(d.now)
-            shares.append(d.router._share(d.router.stores["cache-0"]))
+            shares.append(
+                d.router.cold.share(
+                    d.router.stores["cache-0"],
+                    d.router.load.capacity(d.router.stores["cache-0"], d.router.now),
+                )
+            )
         d.end(code=Code.OK if answered else Code.CANCELLED, final=True)
-        d.router.sending[0] = 400.0
+        d.router.load.sending[0] = 400.0
 
     def kept(window_ms: float) -> bool:
         return all(
@@ -312,9 +319,9 @@
 
 def test_a_restart_under_the_same_id_is_cold_again() -> None:
     d = Driver()
-    assert d.router._warmth(d.router.stores["cache-0"]) == 1.0
+    assert d.router.cold.warmth(d.router.stores["cache-0"], d.router.now) == 1.0
     d.say(Members(ListKind.PARTIAL, (replace(FLEET[0], started_ms=d.now),)))
-    assert d.router._warmth(d.router.stores["cache-0"]) == 0.25
+    assert d.router.cold.warmth(d.router.stores["cache-0"], d.router.now) == 0.25
 
 
 def test_without_any_cache_or_direct_way_the_answer_is_immediate() -> None:
