Know what is excluded by hand before the first request of a start is taken

Now a start reads the calls first, for up to 3 s where the folder can't be read. Evidence: test_a_start_takes_no_request_before_it_knows_what_is_excluded; there was nothing to call before (the look was the first turn of a task that ran beside serving).

--- a/starlinghaven/program/daemon.py
+++ b/starlinghaven/program/daemon.py
@@ -142,6 +142,7 @@
         with trio.open_signal_receiver(*numbers) as signals:
             async with trio.open_nursery() as nursery:
                 await self.core.start(nursery)
+                await self.handover.restore(self.engine)
                 for listener in self._listeners:
                     await listener.open()
                 nursery.start_soon(self.handover.run, self.engine)
--- a/starlinghaven/program/handover.py
+++ b/starlinghaven/program/handover.py
@@ -19,6 +19,7 @@
 log = logging.getLogger(__name__)
 
 LOOK_S = 0.1  # seconds between two looks for what another process was told by hand
+RESTORE_S, RESTORE_AGAIN_S = 3.0, 0.05  # seconds in which a start reads the calls, and between two tries
 SAVE_AGAIN_S = 1.0  # seconds between two tries to save what a folder did not take
 KEPT_S = 120.0  # seconds for which a store's return is remembered: it is warm long before
 MOST_PATH = 100  # bytes of a Unix socket's path: the system takes 107
@@ -34,6 +35,7 @@
         self._unsaved: list[Hand] = []  # calls that the folder did not take yet
         self._save_again_at = 0.0
         self._stamp: tuple[int, int] | None = None
+        self.unread = False  # the calls in the folder could not be read at the last look
 
     def _path(self, name: str) -> Path | None:
         return self._folder / f"starlinghaven-{name}" if self._folder else None
@@ -129,6 +131,18 @@
             del self._unsaved[0]
         self._save_again_at = trio.current_time() + SAVE_AGAIN_S
 
+    async def restore(self, engine: Engine) -> None:
+        """Applies the calls that are in the folder, before the first request is taken.
+
+        A folder that can't be read is tried again for RESTORE_S: a start must not hang on it.
+        """
+        for _ in range(round(RESTORE_S / RESTORE_AGAIN_S)):
+            for hand in self.news():
+                await engine.post(hand)
+            if not self.unread:
+                return
+            await trio.sleep(RESTORE_AGAIN_S)
+
     def news(self) -> list[Hand]:
         """The calls that another process was told since the last look."""
         path = self._path("hand")
@@ -143,8 +157,9 @@
             found_hands = self._read()
         except OSError as error:  # looked at again at the next call
             log.error("what was excluded by hand can't be read: %s", error)
+            self.unread = True
             return []
-        self._stamp = stamp
+        self._stamp, self.unread = stamp, False
         before, self._seen = self._seen, found_hands
         return [h for s, h in self._seen.items() if s not in before or before[s].unix_ms < h.unix_ms]
 
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -13,7 +13,7 @@
 from contextlib import asynccontextmanager
 from functools import partial
 from pathlib import Path
-from typing import Any
+from typing import Any, cast
 
 import pytest
 import trio
@@ -23,6 +23,7 @@
 from starlinghaven.program.handover import Handover
 from starlinghaven.protocol import ProtocolError, console, handover
 from starlinghaven.protocol.resp import encode
+from starlinghaven.routing.engine import Engine
 from starlinghaven.routing.types import Hand
 from starlinghaven.transport.ring import Memory, Ring
 from tests.loopback import KEY, ROOT, Program, free_port, in_trio, operator, program
@@ -99,6 +100,30 @@
     assert {hand.store for hand in Handover(str(tmp_path)).news()} == {CACHE, "s-00000009"}
 
 
+@in_trio
+async def test_a_start_takes_no_request_before_it_knows_what_is_excluded(tmp_path: Path) -> None:
+    told, other = Handover(str(tmp_path)), Handover(str(tmp_path))
+    told.keep(Hand(CACHE, True, 1000.0))
+    reads, posted = 0, list[Hand]()
+    real = Path.read_text
+
+    def failing(path: Path, *more: Any) -> str:
+        nonlocal reads
+        reads += 1
+        if reads < 5:
+            raise OSError(errno.EIO, "Input/output error")
+        return real(path, *more)
+
+    class Queue:
+        async def post(self, event: Hand) -> None:
+            posted.append(event)
+
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(Path, "read_text", failing)
+        await other.restore(cast(Engine, Queue()))
+    assert [hand.store for hand in posted] == [CACHE]
+
+
 @in_trio
 async def test_operators_hear_no_yes_to_a_call_that_the_next_process_would_not_know_of(
     tmp_path: Path,
