--- a/starlinghaven/program/fleet.py
+++ b/starlinghaven/program/fleet.py
@@ -28,6 +28,7 @@
 from starlinghaven.spread import codec as spread_codec
 from starlinghaven.spread import settings as spread_settings
 from starlinghaven.spread.exchange import Exchange, View
+from starlinghaven.transport import sockets
 from starlinghaven.transport.listener import split_address
 
 log = logging.getLogger(__name__)
@@ -75,7 +76,10 @@
 
     async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
         """The one task. Ready when the socket is bound. Errors: OSError if it can't be."""
-        with trio.socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+        made = await sockets.obtained(
+            lambda: trio.socket.socket(socket.AF_INET, socket.SOCK_DGRAM), "datagrams between proxies"
+        )
+        with made as sock:
             await sock.bind(split_address(self._listen))
             self._sock = sock
             task_status.started()
--- a/starlinghaven/transport/listener.py
+++ b/starlinghaven/transport/listener.py
@@ -15,7 +15,7 @@
 
 import trio
 
-from starlinghaven.transport import arrivals, errors
+from starlinghaven.transport import arrivals, errors, sockets
 from starlinghaven.transport.connection import Connection
 from starlinghaven.transport.places import Places
 from starlinghaven.transport.ring import Memory, NoMemory
@@ -26,7 +26,6 @@
 PAUSE_S = 0.05  # seconds without accepting after descriptors or memory ran out
 FIRST_PAUSE_S = 0.001  # after one passing failure; doubled with each in a row, up to PAUSE_S
 LINGERING = 16  # connections in their lingering close beyond the places, at most a quarter of these
-OPEN_TRIES = 40  # of the listening socket, PAUSE_S apart: together far below what a start may take
 MOST_FAILED = 8  # accepts that may fail in a row before there is a pause
 
 Serve = Callable[[Connection], Awaitable[None]]
@@ -105,15 +104,9 @@
         self.port = self._sock.getsockname()[1]
 
     async def _open_own(self) -> None:
-        for left in reversed(range(OPEN_TRIES)):
-            try:
-                self._plain = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-                break
-            except OSError as error:
-                if not left or errors.concerns_peer(error):
-                    raise
-                log.warning("listening on %s is tried again: %s", self._address, error)
-            await trio.sleep(PAUSE_S)
+        self._plain = await sockets.obtained(
+            lambda: socket.socket(socket.AF_INET, socket.SOCK_STREAM), f"listening on {self._address}"
+        )
         self._sock = trio.socket.from_stdlib_socket(self._plain)
         self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         if self._shared:
--- a/tests/test_system_calls.py
+++ b/tests/test_system_calls.py
@@ -17,6 +17,7 @@
 
 from starlinghaven.transport import listener as listener_module
 from starlinghaven.transport import places as places_module
+from starlinghaven.transport import sockets
 from starlinghaven.transport.connection import Connection
 from starlinghaven.transport.listener import Listener
 from starlinghaven.transport.pool import Link, Pool
@@ -208,6 +209,23 @@
         nursery.cancel_scope.cancel()
 
 
+@in_trio
+async def test_a_socket_is_tried_for_again_while_it_can_not_be_had_for_a_moment(tmp_path: Path) -> None:
+    tries: list[int] = []
+
+    def make(number: int, times: int) -> str:
+        tries.append(number)
+        if tries.count(number) <= times:
+            raise OSError(number, os.strerror(number))
+        return "made"
+
+    for number in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM):
+        assert await sockets.obtained(lambda number=number: make(number, 3), "a test") == "made"  # type: ignore[misc]
+    with pytest.raises(PermissionError):
+        await sockets.obtained(lambda: make(errno.EACCES, 99), "a test")
+    assert tries.count(errno.EACCES) == 1
+
+
 @in_trio
 async def test_a_read_or_write_that_fails_for_a_moment_does_not_end_a_connection(tmp_path: Path) -> None:
     for call in ("recv_into", "send"):
