Never make half a request whole that has waited too long to be sent

What was written whole is not concerned. Now the connection to a store ends when bytes have waited for over 0.1 s; a request that did not leave whole never ran. Evidence: test_half_a_request_that_has_waited_too_long_is_never_made_whole, with the wait at 10^9 s it fails.

--- a/starlinghaven/transport/connection.py
+++ b/starlinghaven/transport/connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import math
 import os
 import select
 import socket
@@ -57,6 +58,8 @@
         self._half_closed = False
         self._dropped = 0  # bytes read and dropped since then
         self._queued = 0  # bytes that were taken to be written
+        self.most_unsent_s = math.inf  # that bytes may wait to be sent; older ones end the connection
+        self._unsent_since = 0.0  # trio's time at which the first of them was queued
         self._poll = select.poll()
         self._poll.register(sock.fileno(), select.POLLIN | HUNG_UP)
         self._peer: str | None = None  # the peer's address, once asked
@@ -123,6 +126,8 @@
                 data = data[self._send_now(data) :]
                 if not data:
                     return
+            if not self._out.size:
+                self._unsent_since = trio.current_time()
             self._out.put(data)
         except NoMemory:
             self._queued -= len(data)
@@ -307,6 +312,11 @@
                 continue
             with trio.move_on_after(STALL_S) as stalled:
                 try:
+                    if self.most_unsent_s < math.inf:
+                        await trio.lowlevel.wait_writable(self._sock)
+                        if trio.current_time() > self._unsent_since + self.most_unsent_s:
+                            self._scope.cancel()  # what it says of time is not true any more
+                            return
                     self._out.skip(await self._sock.send(self._out.head()))
                 except trio.ClosedResourceError:
                     if not self._detaching:
--- a/starlinghaven/transport/pool.py
+++ b/starlinghaven/transport/pool.py
@@ -26,6 +26,7 @@
 STUCK_S = 0.3  # seconds without a byte in the middle of an answer, after which nothing more is awaited
 DIAL_RETRIES = 3  # of a dial that failed for a reason of this machine
 DIAL_RETRY_S = 0.01  # seconds before the first of them, doubled each time
+MOST_UNSENT_S = 0.1  # that a part of a request may wait to be sent: its time limit counts on
 WHOLE_S = 10.0  # seconds that one answer may take to come in, where nobody says how long clients wait
 
 
@@ -221,7 +222,9 @@
         sock = trio.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         try:
             await sock.connect(split_address(place[1]))
-            return self._make(place, Connection(sock, self._memory))
+            connection = Connection(sock, self._memory)
+            connection.most_unsent_s = MOST_UNSENT_S
+            return self._make(place, connection)
         except BaseException:
             sock.close()
             raise
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import os
 import socket
 from collections.abc import AsyncIterator
@@ -17,7 +18,7 @@
 from starlinghaven.transport import pool as pool_module
 from starlinghaven.transport.connection import HIGH_WATER, Connection
 from starlinghaven.transport.listener import Listener, split_address
-from starlinghaven.transport.pool import DialFailed, Link, Pool
+from starlinghaven.transport.pool import MOST_UNSENT_S, DialFailed, Link, Pool
 from starlinghaven.transport.ring import SMALL, Memory, Ring
 from tests.loopback import free_port, in_trio, until
 
@@ -282,3 +283,42 @@
             await stream.aclose()
             await until(lambda: links[-1].connection.closed)
             links.clear()
+
+
+class Silent(Link):
+    """A connection whose peer says nothing."""
+
+    async def ended(self) -> None:
+        pass
+
+
+@in_trio
+async def test_half_a_request_that_has_waited_too_long_is_never_made_whole(tmp_path: Path) -> None:
+    got, read_on = bytearray(), trio.Event()
+
+    async def store(stream: trio.SocketStream) -> None:
+        await read_on.wait()
+        with contextlib.suppress(trio.BrokenResourceError):
+            async for data in stream:
+                got.extend(data)
+
+    (listener,) = await trio.open_tcp_listeners(0, host="127.0.0.1")
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(trio.serve_listeners, store, [listener])
+        pool: Pool[Link] = Pool(
+            lambda _, c: Silent(c), Memory(1 << 25), dial_s=1.0, streams=4, idle_s=9.0, most=9
+        )
+        nursery.start_soon(pool.run)
+        await trio.testing.wait_all_tasks_blocked()
+        link = await pool.link(("s", f"127.0.0.1:{listener.socket.getsockname()[1]}"))
+        request = bytes(8 * 1024 * 1024 - 1)
+        link.connection.write(request)
+        assert link.connection.unsent
+        waited_from = trio.current_time()
+        while trio.current_time() <= waited_from + MOST_UNSENT_S:
+            await trio.sleep(0.02)
+        read_on.set()
+        with trio.fail_after(5):
+            await until(lambda: link.connection.closed)
+        assert len(got) < len(request) and link.connection.sent < len(request)
+        nursery.cancel_scope.cancel()
