--- a/starlinghaven/lab/__main__.py
+++ b/starlinghaven/lab/__main__.py
@@ -18,6 +18,7 @@
 from starlinghaven.lab.soak import plan as plans
 from starlinghaven.lab.soak.stage import OBJECTS, ROOT, Stage
 from starlinghaven.lab.soak.stores import GROUPS
+from starlinghaven.lab.soak.variants import VARIANTS
 
 app = typer.Typer(no_args_is_help=True, add_completion=False, help=__doc__)
 
@@ -72,14 +73,18 @@
 def soak(
     seed: Annotated[int, typer.Option(help="what the faults are drawn from")] = 1,
     seconds: Annotated[float, typer.Option(help="how long it plays")] = 30.0,
-    processes: Annotated[int, typer.Option(help="edge proxies")] = 2,
+    processes: Annotated[int, typer.Option(help="edge proxies; 0: as the seed says")] = 0,
+    fault: Annotated[str, typer.Option(help="a fault put into the program, by its name in variants.py")] = "",
     program: Annotated[Path, typer.Option(help="the tree whose program is started")] = ROOT,
     out: Annotated[Path | None, typer.Option(help="folder for history and logs")] = None,
 ) -> None:
-    """Plays random faults of the change log and the processes. Ends with 1 if a rule was broken."""
+    """Plays random faults of stores, clients, change log, processes and system on a drawn deployment.
+
+    Ends with 1 if a rule was broken.
+    """
     folder = out or Path("found") / f"soak-{seed}-{time.strftime('%Y%m%dT%H%M%S')}"
     plan = plans.draw(seed, seconds, processes, OBJECTS, GROUPS)
-    stage = Stage(plan, folder.absolute(), program.absolute())
+    stage = Stage(plan, folder.absolute(), program.absolute(), VARIANTS[fault].code if fault else "")
     trio.run(stage.run)
     broken = checks.run(stage.history.entries)
     words = Counter(e["word"] for e in stage.history.entries if e["what"] == "answer")
--- a/starlinghaven/lab/soak/checks.py
+++ b/starlinghaven/lab/soak/checks.py
@@ -2,12 +2,17 @@
 
 from __future__ import annotations
 
+import math
+from bisect import bisect_left
 from collections import defaultdict
 from collections.abc import Callable, Iterator, Sequence
 from dataclasses import dataclass, field
 
-from starlinghaven.lab.checks import never_two_at_once
+from starlinghaven.lab import effects
 from starlinghaven.lab.history import Entry
+from starlinghaven.lab.soak import deployment as d
+from starlinghaven.lab.soak.stores import body_of
+from starlinghaven.standins.changelog import READY
 
 KNOWN_AFTER_S = 7.0  # after a purge, whether it was heard or not
 BINDS_AFTER_S = 0.55  # after it is known, with the slack on sockets
@@ -17,6 +22,8 @@
 CROSSED_CLOSE_S = 0.05  # a request may cross the close of a connection that rests
 GONE_S = 0.1  # after a client has left, no attempt for it may begin
 DEADLINE_SLACK_S = 0.15  # that a store's deadline may lie behind the client's
+CROSSED_S = 0.25  # that a DROP may be seen after the attempt that follows it
+SOCKET_SLACK_S = 0.05  # by which each time limit is longer on sockets
 LEAST_SERVED = 0.3  # share of the requests of a soak that are served; below it a soak proves little
 
 
@@ -129,7 +136,7 @@
     slack = lab_late(history) + DEADLINE_SLACK_S
     until = {e["call"]: e["t"] + e["ttl"] / 1000 for e in history if e["what"] == "ask"}
     for e in history:
-        if e["what"] != "budget":
+        if e["what"] != "order":
             continue
         if e["call"] not in until:
             yield f"call {e['call']} at {e['t']:.2f} s: no client asked for it"
@@ -138,6 +145,203 @@
             yield f"call {e['call']} at {e['t']:.2f} s: {over:.2f} s more than its client has"
 
 
+def never_two_at_once(history: Sequence[Entry]) -> Iterator[str]:
+    """No second attempt of a request reaches a store while one is at work, but where the settings allow it.
+
+    A DROP and the attempt that follows it go over two connections and may overtake each other.
+    """
+    copies = any(e["what"] == "limits" and e["second_copies"] for e in history)
+    free = {e["name"] for e in history if e["what"] == "class" and e["effect"] == "free"}
+    slack = CROSSED_S + lab_late(history)
+    ended: dict[int, float] = {}
+    at_store = defaultdict[tuple[str, str], list[int]](list)
+    orders = defaultdict[str, list[Entry]](list)
+    for e in history:
+        if e["what"] == "order":
+            orders[e["call"]].append(e)
+            at_store[e["store"], e["call"]].append(e["attempt"])
+        elif e["what"] == "end":
+            ended.setdefault(e["attempt"], e["t"])
+        elif e["what"] == "drop":
+            for attempt in at_store[e["store"], e["call"]]:
+                ended.setdefault(attempt, e["t"])
+    for call, attempts in orders.items():
+        most = 2 if copies and attempts[0]["cls"] in free else 1
+        for n, later in enumerate(attempts):
+            out = [a for a in attempts[:n] if ended.get(a["attempt"], math.inf) > later["t"] + slack]
+            if len(out) >= most:
+                yield f"call {call} at {later['store']} at {later['t']:.2f} s while at {out[0]['store']}"
+
+
+def effects_kept(history: Sequence[Entry]) -> Iterator[str]:
+    """Repeats and refusals keep to what each class's effect allows."""
+    rules = {e["name"]: _rule(e) for e in history if e["what"] == "class"}
+    classes = {e["call"]: e["cls"] for e in history if e["what"] == "ask"}
+    steps = defaultdict[str, list[effects.Step]](list)
+    for e in history:
+        if e["what"] == "order":
+            steps[e["call"]].append(effects.Sent(e["attempt"], e["t"], e["zone"], e["cell"]))
+        elif e["what"] == "said":
+            steps[e["call"]].append(effects.Ended(e["attempt"], e["word"]))
+        elif e["what"] == "answer" and e["word"] == "REJECT":
+            steps[e["call"]].append(effects.Refused(e["t"]))
+    for call, found in steps.items():
+        if call in classes:
+            rule = rules[classes[call]]
+            for text in effects.broken(rule, found, SOCKET_SLACK_S + lab_late(history)):
+                yield f"call {call} of {classes[call]} ({rule.effect}, {rule.scope}): {text}"
+
+
+def _rule(e: Entry) -> effects.EffectRule:
+    return effects.EffectRule(e["effect"], e["scope"], e["window_ms"] / 1000)
+
+
+def attempts_allowed(history: Sequence[Entry]) -> Iterator[str]:
+    """No more attempts than the settings allow, and only at stores and with sources that they allow."""
+    limits = next(e for e in history if e["what"] == "limits")
+    places = {e["store"]: e for e in history if e["what"] == "store"}
+    counts = defaultdict[str, int](int)
+    for e in history:
+        if e["what"] != "order":
+            continue
+        counts[e["call"]] += 1
+        if counts[e["call"]] == limits["attempts"] + 1:
+            yield f"call {e['call']}: more than {limits['attempts']} attempts"
+        place, source = places.get(e["store"]), places.get(e["source"])
+        if place and place["kind"] == 0 and place["zone"] != d.OWN_ZONE:
+            yield f"call {e['call']} at {e['store']}, a cache of another zone"
+        if place and place["kind"] != 0 and not limits["bypass"]:
+            yield f"call {e['call']} straight to {e['store']}"
+        if source and source["kind"] == 0 and e["source"] != e["store"]:
+            yield f"call {e['call']} with the cache {e['source']} as its source"
+
+
+@dataclass(frozen=True, slots=True)
+class _News:
+    """When the processes were told of an event of the change log."""
+
+    pauses: Pauses
+    delivered: dict[tuple[int, int], float]
+    slack_s: float
+
+    @classmethod
+    def of(cls, history: Sequence[Entry]) -> _News:
+        found = {(e["proxy"], e["number"]): e["t"] for e in reversed(history) if e["what"] == "delivered"}
+        return cls(Pauses.of(history), found, HEARD_SLACK_S + lab_late(history))
+
+    def told(self, proxy: int, e: Entry) -> float:
+        """From when an event counts as told to a process."""
+        known = float(e["t"]) + KNOWN_AFTER_S
+        if (proxy, e["number"]) in self.delivered:
+            read = self.pauses.end(proxy, self.delivered[proxy, e["number"]])
+            known = min(known, read + self.slack_s)
+        return known
+
+
+def drains_heeded(history: Sequence[Entry]) -> Iterator[str]:
+    """Nothing new goes to a store, or names it as a source, 2 s after its drain or end counts as told."""
+    news = _News.of(history)
+    proxies = {e["call"]: e["proxy"] for e in history if e["what"] == "ask"}
+    changes = defaultdict[str, list[Entry]](list)
+    for e in history:
+        if e["what"] == "list":
+            changes[e["store"]].append(e)
+        if e["what"] != "order" or e["call"] not in proxies:
+            continue
+        for store in filter(None, (e["store"], e["source"])):
+            if not changes[store] or changes[store][-1]["state"] == READY:
+                continue
+            first = next(c for c in changes[store] if c["state"] != READY)
+            told = news.told(proxies[e["call"]], first)
+            if e["t"] > told + d.STOP_SENDING_MS / 1000 + SOCKET_SLACK_S + lab_late(history):
+                yield f"call {e['call']} names {store} at {e['t']:.2f} s, told of its end at {told:.2f} s"
+
+
+def exclusions_kept(history: Sequence[Entry]) -> Iterator[str]:
+    """What an operator was told is out of use gets nothing new, whatever happens to the process."""
+    proxies = {e["call"]: e["proxy"] for e in history if e["what"] == "ask"}
+    out: dict[tuple[int, str], float] = {}
+    slack = d.STOP_SENDING_MS / 1000 + SOCKET_SLACK_S + lab_late(history)
+    for e in history:
+        if e["what"] == "excluded":
+            out[e["proxy"], e["store"]] = e["t"]
+        elif e["what"] == "included":
+            out.pop((e["proxy"], e["store"]), None)
+        elif e["what"] == "order":
+            since = out.get((proxies.get(e["call"], -1), e["store"]), math.inf)
+            if e["t"] > since + slack:
+                yield f"call {e['call']} at {e['store']} at {e['t']:.2f} s, excluded at {since:.2f} s"
+
+
+def cold_budgets_kept(history: Sequence[Entry]) -> Iterator[str]:
+    """No store that has just started gets more than it bears from all processes that were told of the start.
+
+    Counts calls at the store and those that name it as a source, each with the mean work of its class.
+    """
+    news = _News.of(history)
+    asks = {e["call"]: e for e in history if e["what"] == "ask"}
+    works = defaultdict[str, list[float]](list)
+    for e in asks.values():
+        works[e["cls"]].append(1000 * e["size_kb"] / d.PACE_KB_PER_S)
+    mean = sum(map(sum, works.values())) / max(sum(map(len, works.values())), 1)
+    kinds = {e["store"]: e["kind"] for e in history if e["what"] == "store"}
+    for start in (e for e in history if e["what"] == "cold"):
+        parent = kinds.get(start["store"]) == 1
+        calls, told = list[tuple[float, float]](), list[float]()
+        for e in history:
+            if e["what"] != "order" or e["call"] not in asks or e["t"] < start["t"]:
+                continue
+            if start["store"] in (e["store"], e["source"]):
+                work = works[asks[e["call"]]["cls"]]
+                weight = sum(work) / len(work) / mean
+                calls.append((e["t"], weight))
+                told.append(weight if e["t"] >= news.told(asks[e["call"]]["proxy"], start) else 0.0)
+        yield from _windows_over(start, parent, mean, calls, told)
+
+
+def _windows_over(
+    start: Entry, parent: bool, mean_ms: float, calls: list[tuple[float, float]], told: list[float]
+) -> Iterator[str]:
+    first, length_ms = (d.PARENT_COLD_FROM, d.PARENT_COLD_MS) if parent else (d.COLD_FROM, d.COLD_MS)
+    times = [at for at, _ in calls]
+    for n, at in enumerate(times):
+        age_ms = 1000 * (at - start["t"])
+        if age_ms >= length_ms:
+            return
+        warmth = first + (1 - first) * age_ms / length_ms
+        budget = d.FALL_MULTIPLE * d.WEIGHT * warmth * d.FALL_MS / mean_ms
+        root = math.sqrt(budget)
+        bound = budget + (2 * root + 2 if budget >= 30 else 3 * root + 3)
+        until = bisect_left(times, at + d.FALL_MS / 1000)
+        got = sum(weight for _, weight in calls[n:until])
+        if got > bound and sum(told[n:until]) >= 2 / 3 * got:
+            yield (
+                f"{start['store']} got {got:.1f} calls from {at:.2f} s, {bound:.1f} at most: "
+                f"cold since {start['t']:.2f} s"
+            )
+            return
+
+
+def answers_whole(history: Sequence[Entry]) -> Iterator[str]:
+    """What is served is what the origin gave out, whole, and no older than the class allows."""
+    classes = {e["name"]: e for e in history if e["what"] == "class"}
+    asked = {e["call"]: e for e in history if e["what"] == "ask"}
+    slack = lab_late(history) + SOCKET_SLACK_S
+    for e in history:
+        if e["what"] == "unasked":
+            yield f"proxy {e['proxy']} answered tag {e['tag']}, which was never asked"
+        if e["what"] != "answer" or e["word"] != "RESULT":
+            continue
+        key = e["key"] or "0"
+        if not e["since"] or e["head"] != key or e["size"] != len(body_of(key, 0, e["since"])):
+            yield f"call {e['call']}: {e['size']} bytes that begin with {e['head'][:20]!r} for {key}"
+        cls = classes[e["cls"]]
+        oldest_s = (cls["fresh_ms"] + cls["grace_ms"]) / 1000
+        age_s = asked[e["call"]]["unix"] - e["since"] / 1000
+        if cls["fresh_ms"] and age_s > oldest_s + slack:
+            yield f"call {e['call']}: a copy of {age_s:.2f} s, {oldest_s:.2f} s at most"
+
+
 def processes_live(history: Sequence[Entry]) -> Iterator[str]:
     """No process ends but by a signal that was sent to it, and restarted ones are ready within 10 s."""
     for e in history:
@@ -159,6 +363,12 @@
     purges_heeded,
     one_final_answer,
     never_two_at_once,
+    effects_kept,
+    attempts_allowed,
+    drains_heeded,
+    exclusions_kept,
+    cold_budgets_kept,
+    answers_whole,
     nothing_for_clients_gone,
     deadlines_passed_on,
     processes_live,
--- a/starlinghaven/lab/soak/clients.py
+++ b/starlinghaven/lab/soak/clients.py
@@ -1,21 +1,28 @@
-"""The clients of a soak: they ask, cancel, and go on using open connections until these end."""
+"""The clients of a soak: they ask, leave in several ways, and use open connections until these end."""
 
 from __future__ import annotations
 
 import itertools
+import math
+import time
 from random import Random
 
 import trio
 
 from starlinghaven.lab.history import Entry, History
-from starlinghaven.lab.soak.stores import group_of
+from starlinghaven.lab.soak.deployment import ClassPlan
+from starlinghaven.lab.soak.stores import PART, group_of, reset
+from starlinghaven.protocol.resp import encode
 from starlinghaven.standins.platform import CALLS, Client
 
-TTL_MS = 2_500
 MOST_OPEN = 20  # requests open on one connection
 IDLE_S = 3.5  # after which a client closes a connection; the proxy does after 5
-CANCELLED = 0.03  # share of the requests that are cancelled
+EDGE_S = (4.9, 5.1)  # ... at which some clients write: around the proxy's own close
+EDGE_SHARE = 0.1  # of the connections
+CANCELLED, LEFT = 0.03, 0.01  # shares of the requests that are cancelled, or whose client leaves
+SLOW_SHARE, SLOW_S = 0.03, 0.8  # of the requests that are written in pieces, and how long that takes
 RATE = 9.0  # requests a second of one client
+SIZE_SIGMA = 0.8  # of the logarithm of sizes
 
 
 class SoakClient:
@@ -23,8 +30,16 @@
 
     _numbers = itertools.count(1)
 
-    def __init__(self, proxy: int, address: tuple[str, int], history: History, random: Random) -> None:
+    def __init__(
+        self,
+        proxy: int,
+        address: tuple[str, int],
+        history: History,
+        random: Random,
+        classes: tuple[ClassPlan, ...],
+    ) -> None:
         self._proxy, self._address, self._history, self._random = proxy, address, history, random
+        self._classes = classes
         self._open: set[int] = set()  # tags whose answer is awaited
         self._asked: dict[int, Entry] = {}  # all requests of the connection by their tags
         self._connection = ""
@@ -40,60 +55,115 @@
             self._connection = f"{self._proxy}-{next(self._numbers)}"
             self._open, self._asked = set(), {}
             client = Client(stream)
-            async with stream, trio.open_nursery() as nursery:
+            async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._listen, client, nursery.cancel_scope)
-                await self._ask_on(client, keys, weights)
-                with trio.move_on_after(TTL_MS / 1000 + 1):
-                    while self._open:
-                        await trio.sleep(0.01)
+                if await self._ask_on(client, keys, weights):
+                    with trio.move_on_after(max(c.give_up_ms for c in self._classes) / 1000 + 1):
+                        while self._open:
+                            await trio.sleep(0.01)
                 nursery.cancel_scope.cancel()
+            with trio.CancelScope(shield=True), trio.move_on_after(1.0):
+                await stream.aclose()
 
-    async def _ask_on(self, client: Client, keys: list[str], weights: list[float]) -> None:
+    async def _ask_on(self, client: Client, keys: list[str], weights: list[float]) -> bool:
+        """Asks for as long as the connection is used; whether what is open is awaited after that."""
         used = trio.current_time()
+        rests_long = self._random.random() < EDGE_SHARE
         while True:
-            await trio.sleep(min(self._random.expovariate(RATE), IDLE_S))
-            if trio.current_time() - used > IDLE_S:
-                return
+            pause = self._random.expovariate(RATE)
+            if rests_long and not self._open and self._random.random() < 0.1:
+                pause = self._random.uniform(*EDGE_S)
+            await trio.sleep(pause)
+            if trio.current_time() - used > IDLE_S and not rests_long:
+                return True
             used = trio.current_time()
-            if len(self._open) < MOST_OPEN:
-                await self._ask(client, self._random.choices(keys, weights)[0])
+            if len(self._open) >= MOST_OPEN:
+                continue
+            await self._ask(client, self._random.choices(keys, weights)[0])
+            if self._random.random() < LEFT:
+                await trio.sleep(self._random.uniform(0.0, 0.05))
+                self._leave(client)
+                return False
+
+    def _leave(self, client: Client) -> None:
+        """Ends the connection with all that is open on it, in order or by a reset."""
+        for tag in self._open:
+            self._history.add("cancel", call=self._asked[tag]["call"], how="left")
+        self._history.add("left", connection=self._connection)
+        self._open.clear()
+        if self._random.random() < 0.5:
+            reset(client.words.stream)
 
     async def _ask(self, client: Client, key: str) -> None:
-        number, call = next(self._numbers), f"{next(CALLS):016x}"
-        tag = client.next_tag
-        self._open.add(tag)
-        asked = self._asked[tag] = self._history.add(
-            "ask",
-            proxy=self._proxy,
-            n=number,
-            call=call,
-            key=key,
-            group=group_of(key),
-            ttl=TTL_MS,
-            connection=self._connection,
-        )
+        cls = self._random.choices(self._classes, [c.share for c in self._classes])[0]
+        number, call, tag = next(self._numbers), f"{next(CALLS):016x}", client.next_tag
+        ttl = round(cls.give_up_ms * self._random.choice((0.5, 0.8, 1.0)))
+        size_kb = cls.mean_kb * math.exp(self._random.gauss(-(SIZE_SIGMA**2) / 2, SIZE_SIGMA))
+        fields = {"call": call, "ttl": ttl, "row": key, "block": PART, "family": group_of(key)}
+        fields |= {"heap": f"{size_kb:.1f}"}
+        if cls.uncached:
+            fields = {"call": call, "ttl": ttl, "heap": f"{size_kb:.1f}"}
+        if cls.effect == "guarded":
+            fields["dedupe"] = call * 2
+        text = ",".join(f"{name}={value}" for name, value in fields.items())
+        data = encode(b"RPC.CALL", b"%d" % tag, cls.name.encode(), text.encode(), b"x")
+        client._tag = tag
         try:
-            await client.send("pieces", key, call=call, ttl=str(TTL_MS), family=group_of(key), block=0)
+            data = await self._write_slowly(client, data)
+            asked = self._history.add(
+                "ask",
+                proxy=self._proxy,
+                n=number,
+                call=call,
+                cls=cls.name,
+                key="" if cls.uncached else key,
+                group=group_of(key),
+                ttl=ttl,
+                size_kb=round(size_kb, 1),
+                unix=time.time(),
+                connection=self._connection,
+            )
+            self._open.add(tag)
+            self._asked[tag] = asked
+            await client.words.stream.send_all(data)
             if self._random.random() < CANCELLED:
                 await trio.sleep(self._random.uniform(0.0, 0.05))
                 self._open.discard(tag)
                 await client.words.write(b"RPC.CANCEL", b"%d" % tag)
-                self._history.add("cancel", call=call)
+                self._history.add("cancel", call=call, how="cancelled")
         except (trio.BrokenResourceError, trio.ClosedResourceError):
-            asked["unsent"] = True
+            if tag in self._asked:
+                self._asked[tag]["unsent"] = True
+
+    async def _write_slowly(self, client: Client, data: bytes) -> bytes:
+        """Writes all but the last bytes in pieces, for some requests; returns what is left to write."""
+        if self._random.random() >= SLOW_SHARE:
+            return data
+        while len(data) > 20:
+            piece = self._random.randrange(1, 20)
+            await client.words.stream.send_all(data[:piece])
+            data = data[piece:]
+            await trio.sleep(self._random.uniform(0.0, SLOW_S / 10))
+        return data
 
     async def _listen(self, client: Client, scope: trio.CancelScope) -> None:
         while (words := await client.words.read()) is not None:
             self._open.discard(int(words[0]))
-            self._note_answer(self._asked[int(words[0])], words)
+            self._note_answer(self._asked.get(int(words[0])), words)
         self._history.add("closed", connection=self._connection)
         scope.cancel()
 
-    def _note_answer(self, asked: Entry, words: list[bytes]) -> None:
-        body = words[3].decode() if len(words) > 3 else ""
-        since = int(body.rsplit("/", 1)[1]) if body.count("/") == 2 else 0
-        request = {name: asked[name] for name in ("proxy", "n", "key", "group")}
-        self._history.add("answer", **request, word=words[1].decode(), since=since)
+    def _note_answer(self, asked: Entry | None, words: list[bytes]) -> None:
+        if asked is None:
+            self._history.add("unasked", proxy=self._proxy, tag=int(words[0]))
+            return
+        body = words[3] if len(words) > 3 else b""
+        parts = body.split(b"/", 3)
+        since = int(parts[2]) if len(parts) == 4 and parts[2].isdigit() else 0
+        request = {name: asked[name] for name in ("proxy", "n", "key", "group", "call", "cls")}
+        self._history.add(
+            "answer", **request, word=words[1].decode(), since=since, size=len(body), head=parts[0].decode()
+        )
 
 
 async def crowd(address: tuple[str, int], connections: int, seconds: float) -> None:
--- a/starlinghaven/lab/soak/plan.py
+++ b/starlinghaven/lab/soak/plan.py
@@ -6,13 +6,20 @@
 from enum import StrEnum
 from random import Random
 
+from starlinghaven.lab.soak import deployment as deployments
+from starlinghaven.lab.soak.deployment import Deployment
+
 MOST_OUTAGE_S = 11.0  # of the change log; the rule on purges binds 7.55 s after one at the latest
+MOST_HIDDEN_S = 7.0  # that a drain may be hidden by trouble: a longer one can't be told from no drain
+HEARING_S = 2.0  # without trouble in which a process surely hears the log
+QUIET_LOG = 0.4  # share of the processes whose change log has no trouble
 CALM_END_S = 4.0  # at the end of a soak, in which no fault begins
+PURGE_RATES = (0.9, 0.9, 4.0)  # purges a second
 CROWD = 150  # idle connections of a crowd
 
 
 class Kind(StrEnum):
-    """One kind of action. Those on the log and on processes concern one proxy."""
+    """One kind of action."""
 
     PURGE_OBJECT = "purge-object"
     PURGE_GROUP = "purge-group"
@@ -27,17 +34,62 @@
     TERMINATE = "terminate"
     SIGNALS = "signals"
     CROWD = "crowd"
+    STORE_FAULT = "store-fault"
+    STORE_WELL = "store-well"
+    DRAIN = "drain"
+    RESTART_COLD = "restart-cold"
+    REPLACE = "replace"
+    EXCLUDE = "exclude"
+    INCLUDE = "include"
+
+
+class StoreFault(StrEnum):
+    """What is wrong with a store for a while."""
+
+    REFUSES = "refuses"  # nothing listens at its address
+    LATE = "late"  # answers come late
+    CLOSES_IDLE = "closes-idle"  # connections without a request are closed early
+    VANISHED = "vanished"  # nothing is answered any more, connections stay open
+    RESET_BEFORE = "reset-before"  # connections are reset before a request is read whole
+    RESET_AFTER = "reset-after"  # ... after one was read
+    RESET_AMID = "reset-amid"  # ... within its answer
+    HANGS = "hangs"
+    OVERLOAD = "overload"
+    CRASHED = "crashed"
+    NOT_HERE = "not_here"
+    CUT = "cut"  # answers of too few strings
+    SPOILT = "spoilt"  # answers with other bytes in them
+    DOUBLED = "doubled"  # the same answer again, some ms later
+    ENDLESS = "endless"  # answers that dribble and never end
 
 
 @dataclass(frozen=True, slots=True)
 class Action:
-    """One fault or purge: seconds after all are ready, and what it needs to know."""
+    """One fault, change or purge, so many seconds after all are ready, and what it needs to know."""
 
     at_s: float
     kind: Kind
     proxy: int = 0
     seconds: float = 0.0  # how long it lasts, or how late frames come
-    choice: int = 0  # which object or group
+    choice: int = 0  # which object, group or store
+    fault: StoreFault | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class WallStep:
+    """The wall clock of all processes of the program steps, so many seconds after their start."""
+
+    after_s: float
+    by_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class SystemFaults:
+    """What goes wrong between the program and the system; see shim.py."""
+
+    calls_fail: float = 0.0  # share of calls of sockets that fail for a moment, or do less than asked
+    folder_fails: float = 0.0  # share of writes to the lasting folder that fail
+    wall_steps: tuple[WallStep, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -46,48 +98,93 @@
 
     seed: int
     seconds: float
-    proxies: int
+    deployment: Deployment
+    system: SystemFaults
     actions: tuple[Action, ...] = field(default=())
 
+    @property
+    def proxies(self) -> int:
+        """How many processes of the program are played."""
+        return self.deployment.proxies
+
 
 def draw(seed: int, seconds: float, proxies: int, objects: int, groups: int) -> Plan:
-    """The plan of a seed: purges all through, and one chain of faults for each proxy."""
+    """The plan of a seed; `proxies` 0 stands for a number by chance."""
     random = Random(seed)
+    deployment = deployments.draw(random, proxies)
     actions = list(_purges(random, seconds, objects, groups))
-    for proxy in range(proxies):
-        actions += _log_faults(random, seconds, proxy)
-        actions += _process_faults(random, seconds, proxy)
+    outages: list[tuple[float, float]] = []
+    for proxy in range(deployment.proxies):
+        found = _log_faults(random, seconds, proxy) + _process_faults(random, seconds, proxy)
+        outages += _deaf(found, seconds)
+        actions += found
         if random.random() < 0.25:
             actions.append(Action(random.uniform(1.0, seconds / 2), Kind.CROWD, proxy, seconds / 3))
-    return Plan(seed, seconds, proxies, tuple(sorted(actions, key=lambda action: action.at_s)))
+    actions += _store_faults(random, seconds, deployment)
+    actions += _list_changes(random, seconds, deployment, outages)
+    actions += _by_hand(random, seconds, deployment)
+    system = _system_faults(random, seconds)
+    return Plan(seed, seconds, deployment, system, tuple(sorted(actions, key=lambda action: action.at_s)))
+
+
+def _system_faults(random: Random, seconds: float) -> SystemFaults:
+    calls = random.choice((0.0, 0.0, 0.01, 0.05))
+    folder = random.choice((0.0, 0.5))
+    steps = tuple(
+        WallStep(random.uniform(2.0, seconds), random.choice((-3_600.0, -5.0, 5.0, 3_600.0)))
+        for _ in range(random.choice((0, 0, 1, 2)))
+    )
+    return SystemFaults(calls, folder, tuple(sorted(steps, key=lambda step: step.after_s)))
 
 
 def _purges(random: Random, seconds: float, objects: int, groups: int) -> list[Action]:
     found, at = [], 1.0
+    rate = random.choice(PURGE_RATES)
     while at < seconds:
         whole = random.random() < 0.2
         kind = Kind.PURGE_GROUP if whole else Kind.PURGE_OBJECT
         choice = random.randrange(groups if whole else min(objects, 6))  # mostly what is asked for much
         found.append(Action(at, kind, choice=choice))
-        at += random.expovariate(0.9)
+        at += random.expovariate(rate)
     return found
 
 
+def _deaf(actions: list[Action], seconds: float) -> list[tuple[float, float]]:
+    """When one process may not hear the log, for stretches with less than HEARING_S between them."""
+    spans = []
+    for action in actions:
+        until = action.at_s + action.seconds
+        if action.kind in (Kind.LOG_SILENT, Kind.LOG_REFUSED, Kind.LOG_SLOW):
+            ends = (Kind.LOG_RESTORED, Kind.LOG_MOVED)
+            later = [a.at_s for a in actions if a.kind in ends and a.at_s > action.at_s]
+            late_s = action.seconds if action.kind is Kind.LOG_SLOW else 0.0
+            until = min(later, default=seconds) + late_s
+        spans.append((action.at_s, until))
+    joined: list[tuple[float, float]] = []
+    for since, until in sorted(spans):
+        if joined and since <= joined[-1][1] + HEARING_S:
+            joined[-1] = joined[-1][0], max(joined[-1][1], until)
+        else:
+            joined.append((since, until))
+    return joined
+
+
 def _log_faults(random: Random, seconds: float, proxy: int) -> list[Action]:
     """Troubles of the change log, one after the other, each with its end."""
-    found, at = [], random.uniform(1.0, 4.0)
+    found, at = list[Action](), random.uniform(1.0, 4.0)
+    if random.random() < QUIET_LOG:
+        return found
+    kinds = (
+        Kind.LOG_SILENT,
+        Kind.LOG_SILENT,
+        Kind.LOG_REFUSED,
+        Kind.LOG_SLOW,
+        Kind.LOG_SKIPS,
+        Kind.LOG_MOVED,
+    )
     while at < seconds - CALM_END_S:
-        kind = random.choice(
-            (
-                Kind.LOG_SILENT,
-                Kind.LOG_REFUSED,
-                Kind.LOG_SILENT,
-                Kind.LOG_SLOW,
-                Kind.LOG_SKIPS,
-                Kind.LOG_MOVED,
-            )
-        )
-        lasts = random.uniform(0.5, MOST_OUTAGE_S)
+        kind, lasts = random.choice(kinds), random.uniform(0.5, MOST_OUTAGE_S)
+        late = random.uniform(0.5, 9.0)
         if kind is Kind.LOG_SKIPS:
             found.append(Action(at, kind, proxy))
             lasts = 1.0
@@ -95,7 +192,7 @@
             found.append(Action(at, Kind.LOG_SILENT, proxy))
             found.append(Action(at + lasts, kind, proxy))
         else:
-            found.append(Action(at, kind, proxy, random.uniform(0.5, 9.0)))
+            found.append(Action(at, kind, proxy, late))
             found.append(Action(at + lasts, Kind.LOG_RESTORED, proxy))
         at += lasts + random.uniform(0.5, 4.0)
     return found
@@ -110,3 +207,47 @@
         found.append(Action(at, kind, proxy, lasts))
         at += lasts + random.uniform(5.0, 10.0)
     return found
+
+
+def _store_faults(random: Random, seconds: float, deployment: Deployment) -> list[Action]:
+    """Each store has a fault now and then; the origin seldom."""
+    found = []
+    for number, store in enumerate(deployment.stores):
+        at = random.uniform(0.5, 5.0)
+        while at < seconds - CALM_END_S:
+            lasts = random.uniform(0.5, 4.0)
+            if store.kind != 2 or random.random() < 0.2:
+                fault = random.choice(list(StoreFault))
+                found.append(Action(at, Kind.STORE_FAULT, choice=number, fault=fault))
+                found.append(Action(at + lasts, Kind.STORE_WELL, choice=number))
+            at += lasts + random.uniform(0.5, 5.0)
+    return found
+
+
+def _list_changes(
+    random: Random, seconds: float, deployment: Deployment, outages: list[tuple[float, float]]
+) -> list[Action]:
+    """Caches that drain, restart cold or give their address to a new one; the first cache stays."""
+    numbers = [n for n, s in enumerate(deployment.stores) if s.kind != 2 and s.zone != 2]
+    found = []
+    for number in numbers[1:]:
+        kind = random.choice((Kind.DRAIN, Kind.DRAIN, Kind.RESTART_COLD, Kind.REPLACE))
+        moments = [random.uniform(2.0, 0.7 * seconds) for _ in range(20)]
+        heard = [at for at in moments if kind is Kind.RESTART_COLD or not _hidden(at, outages)]
+        if heard:
+            found.append(Action(heard[0], kind, seconds=random.uniform(1.0, 4.0), choice=number))
+    return found
+
+
+def _hidden(at: float, outages: list[tuple[float, float]]) -> bool:
+    """Whether some process may not hear of a change until long after it."""
+    return any(since <= at + HEARING_S and until > at + MOST_HIDDEN_S for since, until in outages)
+
+
+def _by_hand(random: Random, seconds: float, deployment: Deployment) -> list[Action]:
+    """An operator takes a cache out of use and puts it back."""
+    if random.random() < 0.5:
+        return []
+    at, proxy = random.uniform(1.0, seconds / 2), random.randrange(deployment.proxies)
+    back = at + random.uniform(4.0, seconds / 2)
+    return [Action(at, Kind.EXCLUDE, proxy, choice=1), Action(back, Kind.INCLUDE, proxy, choice=1)]
--- a/starlinghaven/lab/soak/stage.py
+++ b/starlinghaven/lab/soak/stage.py
@@ -5,13 +5,14 @@
 import contextlib
 import json
 import os
+import shlex
 import signal
 import struct
 import subprocess
 import sys
 import time
 import tomllib
-from collections.abc import Sequence
+from dataclasses import asdict
 from pathlib import Path
 from random import Random
 from typing import Any
@@ -21,24 +22,21 @@
 from starlinghaven.lab.history import History
 from starlinghaven.lab.lateness import watch_lateness
 from starlinghaven.lab.soak.clients import SoakClient, crowd
-from starlinghaven.lab.soak.plan import CROWD, Action, Kind, Plan
+from starlinghaven.lab.soak.deployment import KINDS, WEIGHT, ZONES
+from starlinghaven.lab.soak.plan import CROWD, Action, Kind, Plan, SystemFaults
 from starlinghaven.lab.soak.stores import GROUPS, SoakTier
-from starlinghaven.standins.changelog import ChangeLog, LogEndpoint
-from starlinghaven.standins.platform import SETTINGS, configuration, free_port
+from starlinghaven.standins.changelog import DRAINING, GONE, READY, ChangeLog, LogEndpoint, LogEvent
+from starlinghaven.standins.platform import configuration, free_port, operator
 
 ROOT = Path(__file__).parent.parent.parent.parent
 OBJECTS = 24
 CLIENTS = 2  # of each proxy
-GIVE_UP_MS = 3_000.0  # the longest deadline of the deployment
-KILL_AFTER_S = GIVE_UP_MS / 1000 + 0.7  # after SIGTERM, the platform's earliest SIGKILL
+SHIM = Path(__file__).parent / "shim.py"
+STORES_HOST = 250  # the last number of the stores' address
 READY_S = 10.0  # that a process may take to be ready
+BEFORE_KILL_S = 0.7  # and the longest deadline, between SIGTERM and the platform's earliest SIGKILL
 BACK_S = 0.4  # between a process's end and its next start
-STORES = (
-    ("s-00000001", "edge-1", "petit"),
-    ("s-00000002", "edge-1", "petit"),
-    ("s-00000003", "nord", "parent"),
-    ("s-00000004", "nord", "origin"),
-)
+LIFECYCLES = {READY: "active", DRAINING: "leaving", GONE: "left"}
 SIGNALS = (signal.SIGUSR1, signal.SIGHUP, signal.SIGHUP, signal.SIGUSR1, signal.SIGHUP)
 
 
@@ -48,12 +46,18 @@
     return str(deploy["run"]).replace(".venv/bin/python", sys.executable)
 
 
+def own_host(number: int) -> str:
+    """A loopback address that no other lab uses: its ports stay free while nothing listens there."""
+    return f"127.{2 + os.getpid() % 200}.{os.getpid() // 200 % 250}.{number}"
+
+
 class Proxy:
     """One process of the program with a change log endpoint of its own."""
 
     def __init__(self, number: int) -> None:
         self.number = number
-        self.host = f"127.{2 + os.getpid() % 200}.{os.getpid() // 200 % 250}.{number + 1}"  # no other lab's
+        self.host = own_host(number + 1)
+        self.console = 0  # port of the operators' console
         self.process: trio.Process | None = None
         self.endpoint: LogEndpoint | None = None
         self.life = 0
@@ -68,20 +72,17 @@
 class Stage:
     """The processes, their surroundings and the history of one soak."""
 
-    def __init__(
-        self, plan: Plan, out: Path, program: Path = ROOT, command: Sequence[str] | None = None
-    ) -> None:
+    def __init__(self, plan: Plan, out: Path, program: Path = ROOT, variant: str = "") -> None:
         """`out` gets logs and history; `program` is the tree of which `run` in its deploy file is started.
 
-        `command` takes its place, as arguments of the interpreter.
+        `variant` is Python code that takes the place of the program's start: a program with a fault.
         """
-        self.plan, self.out, self._program = plan, out, program
-        self._command = [sys.executable, *command] if command else ["/bin/sh", "-c", run_command(program)]
+        self.plan, self.out, self._program, self._variant = plan, out, program, variant
         self.history = History()
         self._random = Random(plan.seed + 1)
         self._port = free_port()
         self._log = ChangeLog()
-        self._tier = SoakTier(STORES, self.history, self._random)
+        self._tier = SoakTier(plan.deployment, self.history, self._random, own_host(STORES_HOST))
         self._proxies = [Proxy(number) for number in range(plan.proxies)]
         self._keys = [f"{n:016x}" for n in range(1, OBJECTS + 1)]
 
@@ -96,6 +97,7 @@
                     await self._start(proxy)
                 self.history.started = time.time()
                 self.history.entries.clear()
+                self._note_deployment()
                 self._start_clients(nursery)
                 nursery.start_soon(watch_lateness, self.history)
                 nursery.start_soon(self._watch_processes)
@@ -107,12 +109,28 @@
                 await self._end_all()
             self.history.save(self.out / "history.jsonl")
 
+    def _note_deployment(self) -> None:
+        """What the checkers must know of the deployment."""
+        for cls in self.plan.deployment.classes:
+            self.history.add("class", **asdict(cls))
+        for store in self.plan.deployment.stores:
+            self.history.add("store", store=store.id, zone=store.zone, kind=store.kind, cell=store.cell)
+        deployment = self.plan.deployment
+        limits = {"attempts": deployment.attempts, "second_copies": deployment.second_copies}
+        self.history.add("limits", **limits, bypass=deployment.bypass)
+
     def _start_clients(self, nursery: trio.Nursery) -> None:
         weights = [1 / (rank + 1) for rank in range(OBJECTS)]
         for proxy in self._proxies:
             for _ in range(CLIENTS):
                 random = Random(self._random.getrandbits(64))
-                client = SoakClient(proxy.number, (proxy.host, self._port), self.history, random)
+                client = SoakClient(
+                    proxy.number,
+                    (proxy.host, self._port),
+                    self.history,
+                    random,
+                    self.plan.deployment.classes,
+                )
                 nursery.start_soon(client.run, self._keys, weights)
 
     async def _watch_processes(self) -> None:
@@ -134,46 +152,88 @@
 
     def _write_configuration(self, proxy: Proxy) -> Path:
         assert proxy.endpoint is not None
-        policy = SETTINGS["PolicyLimits"] | {"Peers": False}
-        classes = [c | {"GiveUpMs": min(c["GiveUpMs"], GIVE_UP_MS)} for c in SETTINGS["Classes"]]
-        family = SETTINGS["FamilyInfo"] | {"ZoneBalancers": [0, self.plan.proxies], "PurgeSlackMs": 500.0}
-        settings = SETTINGS | {
-            "Me": proxy.number,
-            "FleetSize": self.plan.proxies,
-            "Classes": classes,
-            "PolicyLimits": policy,
-            "FamilyInfo": family,
-        }
+        deployment = self.plan.deployment
         written = configuration(self._tier, self._port, proxy.endpoint.address)
         written |= {
             "name": f"n{proxy.number}",
             "listen": f"{proxy.host}:{self._port}",
             "seed": f"{self._random.getrandbits(64):016x}",
             "limits": {"cores": 1.0, "memory_mb": 96, "sockets": 512},
-            "flow_bytes_per_s": 310_000,
-            "link_bytes_per_s": 1_240_000,
-            "settings": settings,
+            "settings": deployment.settings(proxy.number),
         }
-        written["known"] = self._known(written["known"])
+        if deployment.own_copies:
+            written |= {"flow_bytes_per_s": 310_000, "link_bytes_per_s": 1_240_000}
+        if deployment.peers:
+            peers = [f"{other.host}:{self._port}" for other in self._proxies]
+            written |= {"peer_listen": peers[proxy.number], "peers": peers}
+        written["known"] = self._known()
         path = self.out / "logs" / f"n{proxy.number}.json"
         draft = path.with_suffix(".draft")
         draft.write_text(json.dumps(written))
         draft.replace(path)
         return path
 
-    def _known(self, first: dict[str, Any]) -> dict[str, Any]:
-        """The list of the start and all purges up to now, as a configuration carries them."""
-        results = list(first["results"])
+    def _known(self) -> dict[str, Any]:
+        """All events up to now, as a configuration carries them."""
+        entries = [
+            self._entry(store.id, READY, store.zone, store.kind, store.cell, 0)
+            for store in self.plan.deployment.stores
+        ]
+        results: list[dict[str, Any]] = [{"seq": 1, "fleet": self._fleet(entries)}]
         for event in self._log.events:
-            if event.kind == 3:
-                key, unix_ms = struct.unpack(">8sQ", event.payload)
-                purge = {"object": key.hex(), "time": unix_ms}
-            else:
-                group, unix_ms = struct.unpack(">HQ", event.payload)
-                purge = {"bucket": group, "time": unix_ms}
-            results.append({"seq": event.number, "invalidate": purge})
+            results.append({"seq": event.number, **self._known_event(event)})
         return {"seq": self._log.last_number, "results": results}
 
+    def _known_event(self, event: LogEvent) -> dict[str, Any]:
+        if event.kind == 3:
+            key, unix_ms = struct.unpack(">8sQ", event.payload)
+            return {"invalidate": {"object": key.hex(), "time": unix_ms}}
+        if event.kind == 4:
+            group, unix_ms = struct.unpack(">HQ", event.payload)
+            return {"invalidate": {"bucket": group, "time": unix_ms}}
+        number, _, _, state, zone, kind, cell, _, started = struct.unpack(">I4sHBBBHIQ", event.payload)
+        return {"fleet": self._fleet([self._entry(f"s-{number:08x}", state, zone, kind, cell, started)])}
+
+    @staticmethod
+    def _fleet(entries: list[dict[str, Any]]) -> dict[str, Any]:
+        return {"generation": 1, "reset": False, "instances": entries}
+
+    def _entry(self, store: str, state: int, zone: int, kind: int, cell: int, started: int) -> dict[str, Any]:
+        return {
+            "instanceId": store,
+            "hostPort": self._tier.addresses[store],
+            "zone": ZONES[zone],
+            "machineType": KINDS[kind],
+            "cell": cell,
+            "lifecycle": LIFECYCLES[state],
+            "weight": WEIGHT,
+            "startedAtMs": started,
+        }
+
+    def _start_command(self, proxy: Proxy) -> list[str]:
+        """`run` of the deploy file, or the shim in its place where the plan has faults of the system."""
+        system = self.plan.system
+        if not self._variant and system == SystemFaults():
+            return ["/bin/sh", "-c", run_command(self._program)]
+        told = asdict(system) | {"seed": self.plan.seed * 1000 + proxy.life, "variant": self._variant}
+        words = shlex.join([sys.executable, "-B", str(SHIM), json.dumps(told)])
+        return ["/bin/sh", "-c", f"trap '' HUP USR1; exec {words}"]
+
+    def _environment(self, proxy: Proxy, path: Path) -> dict[str, str]:
+        folder = self.out / f"n{proxy.number}.lasting"
+        folder.mkdir(exist_ok=True)
+        proxy.console = proxy.console or free_port()
+        told = {
+            "LB_CONFIG": str(path),
+            "LB_CONSOLE": f"{proxy.host}:{proxy.console}",
+            "TMPDIR": str(folder),
+        }
+        if self.plan.deployment.peers:
+            options = self.out / "operator.toml"
+            options.write_text("[fleet]\n")
+            told["STARLINGHAVEN_OPERATOR"] = str(options)
+        return os.environ | told
+
     async def _start(self, proxy: Proxy) -> None:
         proxy.life += 1
         path = self._write_configuration(proxy)
@@ -182,9 +242,9 @@
         started = trio.current_time()
         with log_path.open("w") as sink:
             proxy.process = await trio.lowlevel.open_process(
-                self._command,
+                self._start_command(proxy),
                 cwd=self._program,
-                env=os.environ | {"LB_CONFIG": str(path)},
+                env=self._environment(proxy, path),
                 stderr=sink,
                 stdin=subprocess.DEVNULL,
             )
@@ -211,11 +271,54 @@
         match action.kind:
             case Kind.PURGE_OBJECT | Kind.PURGE_GROUP:
                 self._purge(action, nursery)
+            case Kind.STORE_FAULT | Kind.STORE_WELL:
+                self._tier.fault(action.choice, action.fault)
+                store = self._tier.store_at(action.choice)
+                self.history.add("store-fault", store=store, fault=str(action.fault or ""))
+            case Kind.DRAIN | Kind.RESTART_COLD | Kind.REPLACE:
+                nursery.start_soon(self._on_store, action)
+            case Kind.EXCLUDE | Kind.INCLUDE:
+                nursery.start_soon(self._by_hand, action, proxy)
             case Kind.KILL | Kind.STOP | Kind.TERMINATE | Kind.SIGNALS | Kind.CROWD:
                 nursery.start_soon(self._on_process, action, proxy)
             case _:
                 await self._on_log(action, proxy, nursery)
 
+    async def _on_store(self, action: Action) -> None:
+        """A store drains and goes, or its process restarts cold, under its own id or a new one."""
+        old = self._tier.store_at(action.choice)
+        if action.kind is Kind.DRAIN:
+            self._list(old, DRAINING, action.choice)
+            await trio.sleep(action.seconds)
+            self._list(old, GONE, action.choice)
+            return
+        new = f"s-{0x1000 + action.choice:08x}" if action.kind is Kind.REPLACE else old
+        self._tier.restart(action.choice, new)
+        started_ms = int(time.time() * 1000)
+        if new != old:
+            self._list(old, GONE, action.choice)
+        self._list(new, READY, action.choice, started_ms)
+        self.history.add("cold", store=new, number=self._log.last_number)
+
+    def _list(self, store: str, state: int, number: int, started_ms: int = 0) -> None:
+        place, address = self.plan.deployment.stores[number], self._tier.addresses[store]
+        self._log.fleet(
+            store, address, state, place.zone, place.kind, started_ms, cell=place.cell, weight=WEIGHT
+        )
+        self.history.add("list", store=store, state=state, number=self._log.last_number)
+
+    async def _by_hand(self, action: Action, proxy: Proxy) -> None:
+        """An operator's call on the console of one proxy."""
+        store = self.plan.deployment.stores[action.choice].id
+        verb = "exclude" if action.kind is Kind.EXCLUDE else "include"
+        with contextlib.suppress(OSError, trio.BrokenResourceError), trio.move_on_after(5.0):
+            lines = await operator(proxy.console, f"{verb} {store}", proxy.host)
+            if lines and lines[0].startswith("SUCCESS"):
+                self.history.add(f"{verb}d", proxy=proxy.number, store=store)
+                return
+        if verb == "include":
+            self.history.add("included", proxy=proxy.number, store=store, unsure=True)
+
     def _purge(self, action: Action, nursery: trio.Nursery) -> None:
         unix_ms = int(time.time() * 1000)
         if action.kind is Kind.PURGE_OBJECT:
@@ -254,7 +357,7 @@
         def delivered(number: int) -> None:
             self.history.add("delivered", proxy=proxy.number, number=number)
 
-        proxy.endpoint = LogEndpoint(self._log, delivered)
+        proxy.endpoint = LogEndpoint(self._log, delivered, proxy.host)
         await nursery.start(proxy.endpoint.run)
 
     def _signal(self, proxy: Proxy, number: signal.Signals) -> None:
@@ -302,7 +405,7 @@
         proxy.expected_to_end = True
         self.history.add("term", proxy=proxy.number)
         self._signal(proxy, signal.SIGTERM)
-        with trio.move_on_after(KILL_AFTER_S):
+        with trio.move_on_after(self.plan.deployment.longest_ms / 1000 + BEFORE_KILL_S):
             await proxy.process.wait()
         if proxy.up:
             self.history.add("end-kill", proxy=proxy.number)
--- a/starlinghaven/standins/changelog.py
+++ b/starlinghaven/standins/changelog.py
@@ -57,12 +57,24 @@
         """Serves the first endpoint."""
         await self._main.run(task_status)
 
-    def fleet(self, store: str, address: str, state: int, zone: int, kind: int, started_ms: int = 0) -> None:
+    def fleet(
+        self,
+        store: str,
+        address: str,
+        state: int,
+        zone: int,
+        kind: int,
+        started_ms: int = 0,
+        cell: int = 0,
+        weight: float = 6.0,
+    ) -> None:
         """Appends a change of one store's line."""
         host, _, port = address.rpartition(":")
         ip = socket.inet_aton(host)
         number = int(store[2:], 16)
-        record = struct.pack(">I4sHBBBHIQ", number, ip, int(port), state, zone, kind, 0, 6_000, started_ms)
+        record = struct.pack(
+            ">I4sHBBBHIQ", number, ip, int(port), state, zone, kind, cell, round(1000 * weight), started_ms
+        )
         self._append(2, record)
 
     def purge(self, key: str, unix_ms: int) -> None:
@@ -88,9 +100,11 @@
 class LogEndpoint:
     """One address of the log, with faults of its own that can be set at any time."""
 
-    def __init__(self, log: ChangeLog, delivered: Callable[[int], None] | None = None) -> None:
+    def __init__(
+        self, log: ChangeLog, delivered: Callable[[int], None] | None = None, host: str = "127.0.0.1"
+    ) -> None:
         """`delivered` hears the number of each event written to a connection."""
-        self._log, self._delivered = log, delivered
+        self._log, self._delivered, self._host = log, delivered, host
         self.faults = LogFaults()
         self.address = ""
         self.connections = 0  # accepted since the start
@@ -100,10 +114,10 @@
         """Listens and serves; closes its port for as long as `faults.refused` is set."""
         port = 0
         while True:
-            (listener,) = await trio.open_tcp_listeners(port, host="127.0.0.1", backlog=1024)
+            (listener,) = await trio.open_tcp_listeners(port, host=self._host, backlog=1024)
             port = listener.socket.getsockname()[1]
             if not self.address:
-                self.address = f"127.0.0.1:{port}"
+                self.address = f"{self._host}:{port}"
                 task_status.started()
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(trio.serve_listeners, self._serve, [listener])
--- a/starlinghaven/standins/platform.py
+++ b/starlinghaven/standins/platform.py
@@ -85,8 +85,14 @@
         return words
 
     async def write(self, *words: bytes) -> None:
+        await self.send(encode(*words))
+
+    async def send(self, data: bytes, hold_s: float = 0.0) -> None:
+        """Writes bytes as they are, one writer at a time; nobody else writes for so long after that."""
         async with self._writing:
-            await self.stream.send_all(encode(*words))
+            await self.stream.send_all(data)
+            if hold_s:
+                await trio.sleep(hold_s)
 
 
 class Archive:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,8 +1,8 @@
-"""The soak, short: random faults by seed on real processes, and on a program without its lease."""
+"""The soak, short: deployments drawn from seeds on real processes, and programs with a fault in them."""
 
 from __future__ import annotations
 
-from collections.abc import Mapping, Sequence
+from dataclasses import replace
 from pathlib import Path
 from random import Random
 
@@ -10,50 +10,62 @@
 
 from starlinghaven.lab.history import History
 from starlinghaven.lab.soak import checks, plan
+from starlinghaven.lab.soak import deployment as deployments
 from starlinghaven.lab.soak.clients import SoakClient
 from starlinghaven.lab.soak.stage import OBJECTS, ROOT, Stage
 from starlinghaven.lab.soak.stores import GROUPS
+from starlinghaven.lab.soak.variants import VARIANTS
 from tests.loopback import Words, in_trio, until
 
-SEEDS = (3, 4, 12, 17)
-SECONDS = 30.0
-PROCESSES = 2
-WITHOUT_LEASE = (
-    "from starlinghaven.routing.lease import NewsLease; NewsLease.covers = lambda *_: True; "
-    "from starlinghaven.program.daemon import main; main()"
-)
+SEEDS = (3, 6, 12, 17)
+SECONDS = 25.0
+FAULTS = {  # seeds of which one at least must find each
+    "refuses-always": (12,),
+    "ignores-drains": (1,),
+    "no-lease": (2, 6, 9),
+}
 
 
-def play(
-    folder: Path, commands: Mapping[str, tuple[int, Sequence[str] | None]]
-) -> dict[str, dict[str, list[str]]]:
+def drawn(seed: int, copies: bool = False) -> plan.Plan:
+    """The plan of a seed; `copies`: with own copies, which are good until they are purged."""
+    made = plan.draw(seed, SECONDS, 0, OBJECTS, GROUPS)
+    if not copies:
+        return made
+    classes = tuple(replace(c, fresh_ms=0.0) for c in made.deployment.classes)
+    return replace(made, deployment=replace(made.deployment, own_copies=True, classes=classes))
+
+
+def play(folder: Path, plays: dict[str, tuple[int, str]]) -> dict[str, dict[str, list[str]]]:
     """What the checkers found in soaks that play side by side, by their names."""
     found: dict[str, dict[str, list[str]]] = {}
 
-    async def one(name: str, seed: int, command: Sequence[str] | None) -> None:
-        drawn = plan.draw(seed, SECONDS, PROCESSES, OBJECTS, GROUPS)
-        stage = Stage(drawn, folder / name, ROOT, command)
+    async def one(name: str, seed: int, variant: str) -> None:
+        made = drawn(seed, copies=variant == "no-lease")
+        stage = Stage(made, folder / name, ROOT, VARIANTS[variant].code if variant else "")
         await stage.run()
         found[name] = checks.run(stage.history.entries)
 
     async def all_of_them() -> None:
         async with trio.open_nursery() as nursery:
-            for name, (seed, command) in commands.items():
-                nursery.start_soon(one, name, seed, command)
+            for name, (seed, variant) in plays.items():
+                nursery.start_soon(one, name, seed, variant)
 
     trio.run(all_of_them)
     return found
 
 
-def test_random_faults_break_no_rule_and_a_program_without_the_lease_serves_stale_copies(
-    tmp_path: Path,
-) -> None:
-    usual: dict[str, tuple[int, Sequence[str] | None]] = {f"seed {seed}": (seed, None) for seed in SEEDS}
-    found = play(tmp_path, usual | {"without the lease": (SEEDS[0], ("-c", WITHOUT_LEASE))})
-    assert "purges_heeded" in found.pop("without the lease")
+def test_random_deployments_and_faults_break_no_rule(tmp_path: Path) -> None:
+    found = play(tmp_path, {f"seed-{seed}": (seed, "") for seed in SEEDS})
     assert not any(found.values()), found
 
 
+def test_the_soak_finds_faults_that_are_put_into_the_program(tmp_path: Path) -> None:
+    plays = {f"{name}-{seed}": (seed, name) for name, seeds in FAULTS.items() for seed in seeds}
+    found = play(tmp_path, plays)
+    for name, seeds in FAULTS.items():
+        assert any(VARIANTS[name].checker in found[f"{name}-{seed}"] for seed in seeds), (name, found)
+
+
 @in_trio
 async def test_a_second_answer_to_a_request_is_seen(tmp_path: Path) -> None:
     async def twice(stream: trio.SocketStream) -> None:
@@ -62,19 +74,27 @@
             for _ in range(2):
                 await words.write(message[1], b"RESULT", b"", b"x")
 
-    history = History()
+    history, deployment = History(), deployments.draw(Random(1))
     async with trio.open_nursery() as nursery:
         (listener,) = await trio.open_tcp_listeners(0, host="127.0.0.1")
         nursery.start_soon(trio.serve_listeners, twice, [listener])
-        client = SoakClient(0, listener.socket.getsockname()[:2], history, Random(1))
+        address = listener.socket.getsockname()[:2]
+        client = SoakClient(0, address, history, Random(1), deployment.classes)
         nursery.start_soon(client.run, ["0000000000000001"], [1.0])
         await until(lambda: sum(e["what"] == "answer" for e in history.entries) >= 4)
         nursery.cancel_scope.cancel()
     assert any("2 answers" in found for found in checks.one_final_answer(history.entries))
 
 
-def test_a_plan_is_the_same_for_the_same_seed() -> None:
-    one, same, other = (plan.draw(seed, SECONDS, PROCESSES, OBJECTS, GROUPS) for seed in (1, 1, 2))
+def test_a_plan_is_the_same_for_the_same_seed_and_seeds_cover_all_that_is_played() -> None:
+    one, same, other = (plan.draw(seed, SECONDS, 0, OBJECTS, GROUPS) for seed in (1, 1, 2))
     assert one == same != other
-    kinds = {action.kind for seed in range(30) for action in plan.draw(seed, SECONDS, 2, 9, 4).actions}
-    assert kinds == set(plan.Kind)
+    plans = [plan.draw(seed, SECONDS, 0, OBJECTS, GROUPS) for seed in range(60)]
+    assert {action.kind for one in plans for action in one.actions} == set(plan.Kind)
+    faults = {action.fault for one in plans for action in one.actions}
+    assert faults >= set(plan.StoreFault)
+    reads = {(c.effect, c.scope) for one in plans for c in one.deployment.classes if not c.uncached}
+    assert len(reads) == 9, "every effect and scope of a class that reads"
+    assert all(one.proxies == 2 for one in (plan.draw(seed, SECONDS, 2, 9, 4) for seed in range(9)))
+    assert any(one.system != plan.SystemFaults() for one in plans)
+    assert any(replace(one.system, wall_steps=()) != one.system for one in plans)
