Let two tests name what moved, and heed an interrupt where a shell ignores it

The test gives its lab the default handling; it asks for the same as before, and passes also under a trap that ignores SIGINT. The old test was not run under that trap.

--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -241,13 +241,18 @@
     assert found.knew == 11
 
 
+def heed_interrupts() -> None:
+    """In a job that a shell started in the background SIGINT is ignored, and would be in the lab."""
+    signal.signal(signal.SIGINT, signal.SIG_DFL)
+
+
 def test_an_interrupted_run_ends_every_process_and_keeps_its_history(tmp_path: Path) -> None:
     """Ctrl-C amid a run, with one of its proxies stopped."""
     scene = tmp_path / "scene.kdl"
     scene.write_text('scenario "x" { proxies 3; seconds 60; rate 1.0; at 0.0 { stall "1" seconds=50.0 } }')
     out = tmp_path / "out"
     command = [sys.executable, "-m", "starlinghaven.lab", "run", str(scene), "--out", str(out)]
-    with subprocess.Popen(command, stdout=subprocess.PIPE, text=True) as lab:
+    with subprocess.Popen(command, stdout=subprocess.PIPE, text=True, preexec_fn=heed_interrupts) as lab:
         assert lab.stdout is not None
         for line in lab.stdout:
             if "asked=" in line and "asked=0" not in line:
--- a/tests/test_spread_simulated.py
+++ b/tests/test_spread_simulated.py
@@ -15,8 +15,8 @@
 
 import pytest
 
+from starlinghaven.decisions.load import LoadModel
 from starlinghaven.lab.spreading import TRANSFERS, WORK_MS, Spreading
-from starlinghaven.router import Router
 from starlinghaven.spread import estimates, exchange
 from starlinghaven.spread.codec import Datagram, Row, Table, cache_id, encode
 from starlinghaven.spread.estimates import Balance, Estimates, Load
@@ -264,7 +264,7 @@
 
 
 def no_budget() -> Any:
-    return patch.object(Router, "_affordable", lambda self, s, job: True)
+    return patch.object(LoadModel, "affordable", lambda self, store, request, now: True)
 
 
 CASES: list[tuple[Callable[[], Iterator[str]], Callable[[], Any]]] = [
