--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -2,13 +2,15 @@
 
 from __future__ import annotations
 
+import time
 from dataclasses import replace
 from pathlib import Path
 from random import Random
 
 import trio
 
-from starlinghaven.lab.history import History
+from starlinghaven.lab.history import Entry, History
+from starlinghaven.lab.lateness import watch_lateness
 from starlinghaven.lab.soak import checks, plan
 from starlinghaven.lab.soak import deployment as deployments
 from starlinghaven.lab.soak.clients import SoakClient
@@ -37,13 +39,13 @@
 
 def play(folder: Path, plays: dict[str, tuple[int, str]]) -> dict[str, dict[str, list[str]]]:
     """What the checkers found in soaks that play side by side, by their names."""
-    found: dict[str, dict[str, list[str]]] = {}
+    histories: dict[str, list[Entry]] = {}
 
     async def one(name: str, seed: int, variant: str) -> None:
         made = drawn(seed, copies=variant == "no-lease")
         stage = Stage(made, folder / name, ROOT, VARIANTS[variant].code if variant else "")
         await stage.run()
-        found[name] = checks.run(stage.history.entries)
+        histories[name] = stage.history.entries
 
     async def all_of_them() -> None:
         async with trio.open_nursery() as nursery:
@@ -51,7 +53,7 @@
                 nursery.start_soon(one, name, seed, variant)
 
     trio.run(all_of_them)
-    return found
+    return {name: checks.run(history) for name, history in histories.items()}
 
 
 def test_random_deployments_and_faults_break_no_rule(tmp_path: Path) -> None:
@@ -86,6 +88,17 @@
     assert any("2 answers" in found for found in checks.one_final_answer(history.entries))
 
 
+@in_trio
+async def test_lateness_of_the_lab_at_the_end_of_a_run_is_recorded(tmp_path: Path) -> None:
+    history = History()
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(watch_lateness, history)
+        await trio.sleep(0.01)
+        time.sleep(0.3)  # as a long computation in another task of the lab
+        nursery.cancel_scope.cancel()
+    assert checks.lab_late(history.entries) > 0.2
+
+
 def test_a_plan_is_the_same_for_the_same_seed_and_seeds_cover_all_that_is_played() -> None:
     one, same, other = (plan.draw(seed, SECONDS, 0, OBJECTS, GROUPS) for seed in (1, 1, 2))
     assert one == same != other
