Count the time that a request spends in a full accept queue

What callers saw: with all places taken, a client that connects waits in the system's accept queue, and its request with it. When it was read it was given its whole time again, and so was the store that it went to.

Cause: only the time in which the process stood still was counted for new connections; the wait for a place was not known.

Evidence: test_the_time_in_a_full_accept_queue_is_taken_from_what_a_store_is_given holds 32 places of 32 with open requests.

Mend: the queue is first in, first out, and its length is in the TCP_INFO of the listening socket. A sample of it with each accept and each look for a place bounds the age of the one that is taken k-th: it was not there at a moment at which fewer than k had been taken or waited. Where the system does not say (no TCP_INFO), it is as before.

--- a/starlinghaven/transport/listener.py
+++ b/starlinghaven/transport/listener.py
@@ -4,6 +4,7 @@
 
 import contextlib
 import logging
+import math
 import os
 import select
 import socket
@@ -15,7 +16,7 @@
 
 import trio
 
-from starlinghaven.transport import arrivals, errors, sockets
+from starlinghaven.transport import accept_queue, arrivals, errors, sockets
 from starlinghaven.transport.connection import Connection
 from starlinghaven.transport.places import Places
 from starlinghaven.transport.ring import Memory, NoMemory
@@ -84,7 +85,8 @@
         self.shed = 0  # connections accepted only to be closed, when descriptors ran out
         self._spare: int | None = None  # a descriptor kept to accept and close with, at EMFILE
         self.port = 0
-        self._queue_empty_at = time.monotonic()  # when the accept queue was last seen empty
+        self._queue = accept_queue.AcceptQueue()
+        self._queue_empty_at = time.monotonic()  # when it was last seen empty
         self._left = trio.Event()  # a connection has ended
 
     @property
@@ -131,18 +133,22 @@
             return False
         os.close(self._spare)
         self._spare = None
-        sock = self._waiting()
-        if sock is not None:
-            sock.close()
+        waiting = self._waiting()
+        if waiting is not None:
+            waiting[0].close()
             self.shed += 1
         self._keep_spare()
-        return sock is not None
+        return waiting is not None
+
+    def _waiting(self) -> tuple[trio.socket.SocketType, float] | None:
+        """A connection out of the accept queue, without a wait, and when it can have come at the earliest.
 
-    def _waiting(self) -> trio.socket.SocketType | None:
-        """A connection out of the accept queue, without a wait; None if there is none to be had."""
+        None if there is none to be had.
+        """
         for _ in range(BACKLOG):
             try:
-                return trio.socket.from_stdlib_socket(self._plain.accept()[0])
+                sock = trio.socket.from_stdlib_socket(self._plain.accept()[0])
+                return sock, self._came_after(self._queue.take(), awaited=False)
             except BlockingIOError:
                 return None
             except OSError as error:
@@ -181,17 +187,9 @@
         try:
             while True:
                 if self.count >= self.most:
-                    # Only for one that waits: else whoever came last, whose request is on its way, is closed.
-                    await trio.lowlevel.wait_readable(self._plain)
-                    if self.count >= self.most:
-                        self._left = trio.Event()
-                        make_room()
-                        with trio.move_on_after(PAUSE_S):
-                            await self._left.wait()
+                    await self._wait_for_place(make_room)
                     continue
-                awaited = not self._poll.poll(0)
-                if awaited:
-                    self._queue_empty_at = time.monotonic()
+                awaited = self._look_at_queue()
                 try:
                     sock, _ = await self._sock.accept()
                 except OSError as error:
@@ -199,16 +197,54 @@
                     await self._failed(error, failed)
                     continue
                 failed = 0
-                self._begin(nursery, sock, serve, arrivals.came_after(self._queue_empty_at, awaited))
+                if awaited:
+                    self._note_wait_over()
+                self._begin(nursery, sock, serve, self._came_after(self._queue.take(), awaited))
         finally:
             while self._passed is None and (left := self._waiting()) is not None:
-                came_after = arrivals.came_after(self._queue_empty_at, awaited=False)
-                self._begin(nursery, left, serve, came_after)
+                sock, came_after = left
+                self._begin(nursery, sock, serve, came_after)
             self._sock.close()
             if self._spare is not None:
                 os.close(self._spare)
                 self._spare = None
 
+    async def _wait_for_place(self, make_room: Callable[[], bool]) -> None:
+        """At the limit: closes an idle connection where one waits for its place, and looks again soon."""
+        awaited = self._look_at_queue()
+        # Only for one that waits: else whoever came last, whose request is on its way, is closed.
+        await trio.lowlevel.wait_readable(self._plain)
+        if awaited:
+            self._note_wait_over()
+        if self.count >= self.most:
+            self._left = trio.Event()
+            make_room()
+            with trio.move_on_after(PAUSE_S):
+                await self._left.wait()
+
+    def _look_at_queue(self) -> bool:
+        """Notes how many connections wait to be accepted; whether there are none."""
+        now = time.monotonic()
+        if not self._poll.poll(0):
+            self._queue_empty_at = now
+            self._queue.sample(0, now)
+            return True
+        if length := accept_queue.waiting(self._plain):
+            self._queue.sample(length, now)
+        return False
+
+    def _note_wait_over(self) -> None:
+        """The queue was empty until the event loop looked for the last time before this."""
+        self._queue.sample(0, time.monotonic() - arrivals.unread_for_s())
+
+    def _came_after(self, sampled: float, awaited: bool) -> float:
+        """When a connection just accepted can have come at the earliest, on time.monotonic().
+
+        `sampled` is by the samples of the queue, and `awaited` whether the queue was empty before.
+        """
+        came_after = arrivals.came_after(self._queue_empty_at, awaited)
+        return came_after if awaited or sampled == -math.inf else min(came_after, sampled)
+
     async def _failed(self, error: OSError, in_a_row: int) -> None:
         """After an accept that failed: the next one follows at once, or after a pause. Raises if none can."""
         meaning = errors.of_accept(error)
--- a/tests/test_arrivals.py
+++ b/tests/test_arrivals.py
@@ -2,15 +2,22 @@
 
 from __future__ import annotations
 
+import math
 import signal
+import socket
 import time
 from pathlib import Path
 
 import trio
 
-from starlinghaven.standins.platform import Archive
+from starlinghaven.standins.platform import STORES, Archive
+from starlinghaven.transport import arrivals
+from starlinghaven.transport.accept_queue import AcceptQueue
 from starlinghaven.transport.arrivals import ArrivalWatch
-from tests.loopback import in_trio, program
+from starlinghaven.transport.connection import Connection
+from starlinghaven.transport.listener import Listener
+from starlinghaven.transport.ring import Memory
+from tests.loopback import in_trio, program, until
 
 STOPPED_S, TTL_MS = 1.0, 2_000
 
@@ -99,3 +106,61 @@
     watch.before_io_wait(0.0)
     watch.after_io_wait(0.0)
     assert watch.unread_for_s() >= 0.1, "an interrupted wait may have ended without a look"
+
+
+@in_trio
+async def test_the_time_in_a_full_accept_queue_is_taken_from_what_a_store_is_given(tmp_path: Path) -> None:
+    places, held_s = 32, 1.0
+    caches = tuple((f"s-{n:08x}", "edge-1", "petit") for n in range(0x10, 0x15))
+    archive = Archive((*caches, *STORES))
+    archive.plan = {f"{n:016x}": (held_s, "served") for n in range(places)}
+    more = {"limits": {"cores": 1.0, "memory_mb": 192, "sockets": 2 * places}}
+    async with program(tmp_path, archive=archive, more=more) as p:
+        holders = [await p.client() for _ in range(places)]
+        for n, holder in enumerate(holders):
+            await holder.send(key=f"{n:016x}", ttl="5000")
+        await until(lambda: len(archive.orders) == places)
+        late = await p.client()
+        await late.send(key="00000000000000ab", ttl=str(TTL_MS))
+        asked = time.monotonic()
+        answer = await late.words.read()
+        assert answer is not None and answer[1] == b"RESULT"
+        (order,) = (o for o in archive.orders if o["k"] == "00000000000000ab")
+        waited_ms = 1000 * (time.monotonic() - asked)
+        assert waited_ms > 500 and int(order["w"]) <= TTL_MS - waited_ms + 150
+        await late.call(key="00000000000000ac", ttl=str(TTL_MS))
+        assert int(archive.orders[-1]["w"]) > 0.8 * (TTL_MS - 150), "what comes later has all its time"
+
+
+@in_trio
+async def test_connections_that_come_together_after_a_long_rest_are_not_taken_for_old(tmp_path: Path) -> None:
+    ages: list[float] = []
+    arrivals.install()
+    listener = Listener("127.0.0.1:0", Memory(1 << 24), most=20)
+    await listener.open()
+
+    async def serve(connection: Connection) -> None:
+        ages.append(connection.unread_for_s())
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(listener.run, serve, lambda: False)
+        await trio.sleep(0.5)
+        sockets = [socket.create_connection(("127.0.0.1", listener.port)) for _ in range(3)]
+        await until(lambda: len(ages) == len(sockets))
+        nursery.cancel_scope.cancel()
+    for sock in sockets:
+        sock.close()
+    assert max(ages) < 0.1
+
+
+def test_the_earliest_arrival_is_the_last_sample_before_a_connection_was_in_the_queue() -> None:
+    queue = AcceptQueue()
+    assert queue.take() == -math.inf
+    queue.sample(0, 10.0)
+    queue.sample(2, 10.5)
+    queue.sample(2, 11.0)
+    queue.sample(3, 11.5)
+    assert [queue.take() for _ in range(4)] == [10.0, 10.0, 11.0, 11.5]
+    queue.sample(0, 20.0)
+    queue.sample(1, 21.0)
+    assert queue.take() == 20.0
