Count the time that input lay unread behind back pressure or earlier input

What callers saw: a request that came while its connection was not being read (the client itself had over 512 KB of answers unread, or earlier messages were waited with) had its whole time again once it was read, and so had its store.

Cause: a connection knew only of stops of the whole process. It took what it read for as old as the event loop's last look.

Evidence: two tests hold a connection's reading for 0.5 s by each of the two ways.

Mend: the age that the accept queue has now, for bytes: in order, with samples of FIONREAD where something is left unread, and of an empty input before each wait. It replaces the former note of unread input.

--- a/starlinghaven/transport/connection.py
+++ b/starlinghaven/transport/connection.py
@@ -14,6 +14,7 @@
 import trio
 
 from starlinghaven.transport import arrivals, errors
+from starlinghaven.transport.queue_age import QueueAge, unread_bytes
 from starlinghaven.transport.ring import Memory, NoMemory, Ring
 
 PASSING_S = 0.01  # seconds after which a read or write is tried again that failed for a moment
@@ -23,6 +24,7 @@
 MOST_UNSENT = 8 * 1024 * 1024  # bytes unsent at most: all open requests of a connection with full answers
 LINGER_S = 0.5  # seconds of a lingering close in which what the peer still sends is read and dropped
 MOST_DROPPED = HIGH_WATER  # bytes that are read and dropped in that time, at most
+FULL_SHARE = 0.25  # of the receive buffer that is filled, from which the peer's window may have closed
 HUNG_UP = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 
 Feed = Callable[[Ring], Awaitable[int]]
@@ -71,14 +73,13 @@
         self._eof = False  # the peer's end was read
         self.reading = False  # it waits for the peer's bytes, and for nothing else
         self.heard_at = trio.current_time()  # when the last bytes came in
-        self._unread_since = came_after  # of bytes that may lie unread since the process stood still
+        self._input_age = QueueAge()
+        self._input_age.sample(0, time.monotonic() if came_after is None else came_after)
+        self._read_came_after = math.inf  # when what was read last can have come at the earliest
 
     def unread_for_s(self) -> float:
-        """Seconds that what was read last may have waited in the system's buffers, at most."""
-        waited = arrivals.unread_for_s()
-        if self._unread_since is None:
-            return waited
-        return max(waited, time.monotonic() - self._unread_since)
+        """Seconds since what was read last came in, at most: in the system's buffers, and here."""
+        return max(arrivals.unread_for_s(), time.monotonic() - self._read_came_after)
 
     @property
     def unsent(self) -> int:
@@ -240,8 +241,7 @@
             while self._out.size > HIGH_WATER and self.usable:
                 self._room = trio.Event()
                 await self._room.wait()
-            if self._unread_since is not None and not self._events() & select.POLLIN:
-                self._unread_since = None  # all that lay unread has been read
+            awaited = self._look_at_input()
             self.reading = True
             try:
                 got = await self._sock.recv_into(self._in.space())
@@ -251,7 +251,6 @@
                 break
             except OSError as error:
                 if errors.passes(error):
-                    self._note_unread()
                     await trio.sleep(PASSING_S)
                     continue
                 got = 0  # a reset ends it like the peer's end, and costs no more: see `serve`
@@ -261,7 +260,9 @@
                 self._eof = True
                 return False
             self.heard_at = trio.current_time()
-            self._note_unread()
+            if awaited:  # nothing was there until the event loop looked for the last time before this
+                self._input_age.sample(0, time.monotonic() - arrivals.unread_for_s())
+            self._read_came_after = self._input_age.take(got)
             self._in.filled(got)
             if self._ending:
                 self._in.skip(self._in.size)  # it crossed the close: nothing more is taken
@@ -272,11 +273,15 @@
                 return False
         return True
 
-    def _note_unread(self) -> None:
-        """After a look at the input: what lies there still may be as old as what was read."""
-        since = time.monotonic() - arrivals.unread_for_s()
-        if arrivals.unread_for_s() > arrivals.STALL_S:
-            self._unread_since = min(since, self._unread_since or since)
+    def _look_at_input(self) -> bool:
+        """Notes how much input waits to be read; whether there is none."""
+        if not self._events() & select.POLLIN:
+            self._input_age.sample(0, time.monotonic())
+            return True
+        if length := unread_bytes(self._sock.fileno()):
+            room = self._sock.getsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF)
+            self._input_age.sample(length, time.monotonic(), full=length >= room * FULL_SHARE)
+        return False
 
     async def _use(self, feed: Feed) -> bool:
         """Hands on what came in; whether there is a reason to go on reading."""
--- a/starlinghaven/transport/listener.py
+++ b/starlinghaven/transport/listener.py
@@ -16,9 +16,10 @@
 
 import trio
 
-from starlinghaven.transport import accept_queue, arrivals, errors, sockets
+from starlinghaven.transport import arrivals, errors, sockets
 from starlinghaven.transport.connection import Connection
 from starlinghaven.transport.places import Places
+from starlinghaven.transport.queue_age import QueueAge, waiting_connections
 from starlinghaven.transport.ring import Memory, NoMemory
 
 log = logging.getLogger(__name__)
@@ -85,7 +86,7 @@
         self.shed = 0  # connections accepted only to be closed, when descriptors ran out
         self._spare: int | None = None  # a descriptor kept to accept and close with, at EMFILE
         self.port = 0
-        self._queue = accept_queue.AcceptQueue()
+        self._queue = QueueAge()
         self._queue_empty_at = time.monotonic()  # when it was last seen empty
         self._left = trio.Event()  # a connection has ended
 
@@ -229,7 +230,7 @@
             self._queue_empty_at = now
             self._queue.sample(0, now)
             return True
-        if length := accept_queue.waiting(self._plain):
+        if length := waiting_connections(self._plain):
             self._queue.sample(length, now)
         return False
 
--- a/tests/test_arrivals.py
+++ b/tests/test_arrivals.py
@@ -6,17 +6,20 @@
 import signal
 import socket
 import time
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+from functools import partial
 from pathlib import Path
 
 import trio
 
 from starlinghaven.standins.platform import STORES, Archive
 from starlinghaven.transport import arrivals
-from starlinghaven.transport.accept_queue import AcceptQueue
 from starlinghaven.transport.arrivals import ArrivalWatch
-from starlinghaven.transport.connection import Connection
+from starlinghaven.transport.connection import HIGH_WATER, Connection
 from starlinghaven.transport.listener import Listener
-from starlinghaven.transport.ring import Memory
+from starlinghaven.transport.queue_age import QueueAge
+from starlinghaven.transport.ring import Memory, Ring
 from tests.loopback import in_trio, program, until
 
 STOPPED_S, TTL_MS = 1.0, 2_000
@@ -153,8 +156,8 @@
     assert max(ages) < 0.1
 
 
-def test_the_earliest_arrival_is_the_last_sample_before_a_connection_was_in_the_queue() -> None:
-    queue = AcceptQueue()
+def test_the_earliest_arrival_is_the_last_sample_without_it_in_the_queue() -> None:
+    queue = QueueAge()
     assert queue.take() == -math.inf
     queue.sample(0, 10.0)
     queue.sample(2, 10.5)
@@ -162,5 +165,76 @@
     queue.sample(3, 11.5)
     assert [queue.take() for _ in range(4)] == [10.0, 10.0, 11.0, 11.5]
     queue.sample(0, 20.0)
-    queue.sample(1, 21.0)
-    assert queue.take() == 20.0
+    queue.sample(5, 21.0, full=True)
+    queue.sample(5, 22.0)
+    assert queue.take(5) == 20.0
+    queue.sample(5, 23.0)
+    assert queue.take(5) == 20.0, "it may have waited for room as long as that"
+    queue.sample(0, 24.0)
+    queue.sample(1, 25.0)
+    assert queue.take() == 24.0
+
+
+@asynccontextmanager
+async def served(feed: Callable[[Connection, Ring], Awaitable[int]]) -> AsyncIterator[trio.SocketStream]:
+    """A client's stream to a listener whose connections are fed to `feed`."""
+    arrivals.install()
+    listener = Listener("127.0.0.1:0", Memory(1 << 26), most=20)
+    await listener.open()
+
+    async def serve(connection: Connection) -> None:
+        await connection.serve(partial(feed, connection))
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(listener.run, serve, lambda: False)
+        stream = await trio.open_tcp_stream("127.0.0.1", listener.port)
+        yield stream
+        await stream.aclose()
+        nursery.cancel_scope.cancel()
+
+
+@in_trio
+async def test_what_lay_unread_behind_back_pressure_is_as_old_as_its_wait(tmp_path: Path) -> None:
+    ages: list[float] = []
+
+    async def feed(connection: Connection, ring: Ring) -> int:
+        ages.append(connection.unread_for_s())
+        if ring.take(ring.size) == b"one":
+            while connection.unsent <= HIGH_WATER:
+                connection.write(bytes(1 << 18))
+                await trio.sleep(0.01)
+        return 1
+
+    async with served(feed) as stream:
+        await stream.send_all(b"one")
+        await until(lambda: len(ages) == 1)
+        await stream.send_all(b"two")
+        await trio.sleep(0.5)
+        while len(ages) < 2:
+            await stream.receive_some()
+        await stream.send_all(b"three")
+        while len(ages) < 3:
+            with trio.move_on_after(0.01):
+                await stream.receive_some()
+    assert ages[0] < 0.1 and ages[1] >= 0.49 and ages[2] < 0.1
+
+
+@in_trio
+async def test_what_came_while_earlier_input_was_being_handled_is_as_old_as_that(tmp_path: Path) -> None:
+    ages: list[float] = []
+
+    async def feed(connection: Connection, ring: Ring) -> int:
+        ages.append(connection.unread_for_s())
+        if ring.take(ring.size) == b"one":
+            await trio.sleep(0.5)
+        return 1
+
+    async with served(feed) as stream:
+        for text in (b"one", b"two"):
+            await stream.send_all(text)
+            await trio.sleep(0.05)
+        await until(lambda: len(ages) == 2)
+        await trio.sleep(0.5)
+        await stream.send_all(b"three")
+        await until(lambda: len(ages) == 3)
+    assert ages[0] < 0.1 and ages[1] >= 0.4 and ages[2] < 0.1
