Read cancels that lie behind answers which their client has not read

What callers saw: a client with over 512 KB of unread answers takes a request back, and further attempts of it begin all the same: each is a lost request.

Cause: from 512 KB unsent on nothing more was read from a connection, so that the cancel lay in the system's buffer until the client read on.

Evidence: a client of 30 answers of 240,000 bytes takes its first request back; its store says `overload` 0.6 s later. No DROP came, and the next attempt began. test_a_cancel_behind_answers_that_its_client_has_not_read_begins_nothing_new failed so, and passes now.

Mend: clients of the platform are read on. What that can cost was bounded already: 32 open requests a connection, 8 MB unsent, then it is cut off. The former back pressure stays for HTTP and for stores.

--- a/starlinghaven/program/platform.py
+++ b/starlinghaven/program/platform.py
@@ -16,7 +16,7 @@
 from starlinghaven.protocol import ProtocolError, handover, platform
 from starlinghaven.routing.engine import Engine
 from starlinghaven.routing.types import Answer, Ask, Counters, Left, Result, Taken
-from starlinghaven.transport.connection import Connection, Remains
+from starlinghaven.transport.connection import MOST_UNSENT, Connection, Remains
 from starlinghaven.transport.listener import Listener
 from starlinghaven.transport.ring import Ring
 
@@ -81,6 +81,7 @@
 
     def __init__(self, front: PlatformFront, connection: Connection) -> None:
         self.connection, self._front = connection, front
+        connection.high_water = MOST_UNSENT  # a cancel may lie behind answers that are not read
         self._reader = platform.reader()
         self._used_to = 0  # all tags up to this one have been used
         self._used: set[int] = set()  # those used above it
--- a/starlinghaven/standins/platform.py
+++ b/starlinghaven/standins/platform.py
@@ -139,6 +139,10 @@
         delay, word = self.plan.get(fields.get("k", ""), (0.0, "served"))
         return delay, word, LONG_AGO
 
+    def body(self, fields: dict[str, str]) -> bytes:
+        """What is served for a request."""
+        return f"{fields.get('k', '')}/{fields.get('p', '')}".encode()
+
     def saw(self, what: str, store: str, call: str) -> None:
         """For those who keep a history: an attempt came, ended or was dropped."""
 
@@ -159,7 +163,7 @@
             if word == "reset":
                 await words.stream.aclose()
                 return
-            body = f"{fields.get('k', '')}/{fields.get('p', '')}".encode() if word == "served" else b""
+            body = self.body(fields) if word == "served" else b""
             if word == "served" and since != LONG_AGO:
                 body += f"/{since}".encode()  # clients see how old what they got is
             rev = fields.get("inm", "00aa") if word == "still_good" else "00aa"
--- a/starlinghaven/transport/connection.py
+++ b/starlinghaven/transport/connection.py
@@ -20,7 +20,7 @@
 PASSING_S = 0.01  # seconds after which a read or write is tried again that failed for a moment
 STALL_S = 10.0  # seconds in which a peer must read something of what waits for it
 STARVED_S = 2.0  # seconds that a half-read message may wait for memory
-HIGH_WATER = 512 * 1024  # bytes unsent from which nothing more is read from the same peer
+HIGH_WATER = 512 * 1024  # bytes unsent from which, as a rule, nothing more is read from the same peer
 MOST_UNSENT = 8 * 1024 * 1024  # bytes unsent at most: all open requests of a connection with full answers
 LINGER_S = 0.5  # seconds of a lingering close in which what the peer still sends is read and dropped
 MOST_DROPPED = HIGH_WATER  # bytes that are read and dropped in that time, at most
@@ -60,6 +60,7 @@
         self._half_closed = False
         self._dropped = 0  # bytes read and dropped since then
         self._queued = 0  # bytes that were taken to be written
+        self.high_water = HIGH_WATER  # bytes unsent from which nothing more is read
         self.most_unsent_s = math.inf  # that bytes may wait to be sent; older ones end the connection
         self._unsent_since = 0.0  # trio's time at which the first of them was queued
         self._poll = select.poll()
@@ -238,7 +239,7 @@
         if self._in.size and not await self._use(feed):
             return False
         while not self._detaching:
-            while self._out.size > HIGH_WATER and self.usable:
+            while self._out.size > self.high_water and self.usable:
                 self._room = trio.Event()
                 await self._room.wait()
             awaited = self._look_at_input()
--- a/starlinghaven/transport/queue_age.py
+++ b/starlinghaven/transport/queue_age.py
@@ -12,7 +12,6 @@
 import socket
 import struct
 import termios
-from collections import deque
 
 _LISTEN = 10  # tcpi_state of a listening socket
 _TCP_INFO_HEAD = struct.Struct("=8B5I")  # struct tcp_info (linux/tcp.h) up to tcpi_unacked
@@ -44,9 +43,11 @@
 class QueueAge:
     """The earliest moment at which what is taken next can have come into the queue."""
 
+    __slots__ = ("_overflowed", "_samples", "_taken")
+
     def __init__(self) -> None:
         self._taken = 0
-        self._samples: deque[tuple[int, float]] = deque()  # ever come, and when there were last so many
+        self._samples: list[tuple[int, float]] = []  # ever come, and when there were last so many; few
         self._overflowed = False  # more may wait outside, as long as the queue is not empty
 
     def sample(self, length: int, now: float, full: bool = False) -> None:
@@ -70,7 +71,7 @@
         It is -inf where there was no sample before that.
         """
         while len(self._samples) > 1 and self._samples[1][0] <= self._taken:
-            self._samples.popleft()
+            del self._samples[0]
         come, at = self._samples[0] if self._samples else (math.inf, -math.inf)
         came_after = at if come <= self._taken else -math.inf
         self._taken += count
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import signal
+import socket
 import struct
 from collections.abc import Awaitable, Callable
 from pathlib import Path
@@ -10,7 +11,7 @@
 import trio
 
 from starlinghaven.protocol.resp import encode
-from tests.loopback import KEY, in_trio, program
+from tests.loopback import KEY, Archive, Client, in_trio, program, until
 
 
 @in_trio
@@ -78,6 +79,37 @@
         assert (await client.call(key="00000000000000aa"))[1] == b"RESULT"
 
 
+class LargeObjects(Archive):
+    """Serves the largest objects that the protocol allows."""
+
+    def body(self, fields: dict[str, str]) -> bytes:
+        return bytes(240_000)
+
+
+@in_trio
+async def test_a_cancel_behind_answers_that_its_client_has_not_read_begins_nothing_new(
+    tmp_path: Path,
+) -> None:
+    hanging, answered_after_s = "00000000000000cc", 0.6
+    archive = LargeObjects()
+    archive.plan[hanging] = (answered_after_s, "overload")
+    async with program(tmp_path, archive=archive) as p:
+        sock = trio.socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        await sock.connect(("127.0.0.1", p.port))
+        slow, reading = Client(trio.SocketStream(sock)), await p.client()
+        for client in (slow, reading):
+            await client.send(key=hanging, call=f"{id(client):016x}")
+        for n in range(30):
+            await slow.send(key=f"{n:016x}")
+            await trio.sleep(0.005)
+        await slow.words.write(b"RPC.CANCEL", b"1")
+        await until(lambda: sum(o["id"] == f"{id(reading):016x}" for o in archive.orders) > 1)
+        assert f"{id(slow):016x}" in archive.dropped
+        assert sum(o["id"] == f"{id(slow):016x}" for o in archive.orders) == 1
+        await slow.words.stream.aclose()
+
+
 @in_trio
 async def test_a_reset_by_a_store_is_followed_by_another_attempt(tmp_path: Path) -> None:
     async with program(tmp_path) as p:
