Answer a request with a failure where memory for its answer is held by others

What callers saw: while slow readers held all memory for rings, a client with something unsent lost its connection with the next answer, and all that was open on it went without a final answer.

Cause: `Connection.write` ended a connection for want of memory, whoever held it.

Evidence: test_want_of_memory_that_others_hold_fails_an_answer_and_not_its_connection takes all memory while a connection has something unsent: without a replacement the connection is ended (as before), with one its client reads the failure, in order.

Mend: the platform's front gives the failed answer as the one to write instead; it fits the ring that each connection has. Counted as `answers_not_written`.

--- a/starlinghaven/program/platform.py
+++ b/starlinghaven/program/platform.py
@@ -231,16 +231,18 @@
         if self.relay:
             self.relay.answered(self, tag, text)
         else:
-            self._say(text)
+            self._say(tag, text)
 
     def returned(self, tag: int, text: bytes = b"") -> None:
         """What an older process answers to a tag that it kept; it fails if that process is gone."""
         if tag in self.lent:
             self.lent.remove(tag)
-            self._say(text or platform.failed(tag))
+            self._say(tag, text or platform.failed(tag))
 
-    def _say(self, text: bytes) -> None:
-        self.connection.write(text)
+    def _say(self, tag: int, text: bytes) -> None:
+        if not self.connection.write(text, instead=platform.failed(tag)):
+            self._front.counters.add("answers_not_written")
+            log.warning("no memory for an answer of %d bytes to %s", len(text), self.connection.peer)
         self._answered_at = time.monotonic()
         self.ends_at = max(self.ends_at, time.monotonic() + (WHOLE_S if self.amid else IDLE_S))
         if len(self._used) >= TAGS_APART:
--- a/starlinghaven/transport/connection.py
+++ b/starlinghaven/transport/connection.py
@@ -116,26 +116,33 @@
             return 0
         return sum(events for _, events in self._poll.poll(0))
 
-    def write(self, data: bytes) -> None:
-        """Queues bytes in order; a peer that leaves far too much unread is cut off."""
+    def write(self, data: bytes, instead: bytes = b"") -> bool:
+        """Queues bytes in order, and says whether it did; a peer that leaves far too much unread is cut off.
+
+        Where memory is short, since other connections hold it, `instead` is written in place of `data`.
+        Without it, or where a part of `data` has left already, the connection is ended.
+        """
         if self.closed or self._ending:
-            return
-        self._queued += len(data)
+            return False
+        rest = data
         try:
             if self._out.size + len(data) > MOST_UNSENT:
                 raise NoMemory("the peer does not read")
             if not self._out.size:  # else it would overtake what waits
-                data = data[self._send_now(data) :]
-                if not data:
-                    return
-            if not self._out.size:
+                rest = data[self._send_now(data) :]
                 self._unsent_since = trio.current_time()
-            self._out.put(data)
+            if rest:
+                self._out.put(rest)
+                self._work.set()
         except NoMemory:
-            self._queued -= len(data)
-            self.abort()
-            return
-        self._work.set()
+            self._queued += len(data) - len(rest)
+            if not instead or len(rest) < len(data):
+                self.abort()
+            else:
+                self.write(instead)
+            return False
+        self._queued += len(data)
+        return True
 
     def _send_now(self, data: bytes) -> int:
         """Sends what the socket takes at once: mostly all, and no task needs to wake for it."""
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -322,3 +322,27 @@
             await until(lambda: link.connection.closed)
         assert len(got) < len(request) and link.connection.sent < len(request)
         nursery.cancel_scope.cancel()
+
+
+@in_trio
+async def test_want_of_memory_that_others_hold_fails_an_answer_and_not_its_connection(
+    tmp_path: Path,
+) -> None:
+    memory = Memory(1 << 20)
+    async with served(memory) as (_, links, address):
+        peer = await trio.open_tcp_stream(*split_address(address))
+        await until(lambda: links)
+        connection = links[0].connection
+        while not connection.unsent:
+            connection.write(b"a" * (1 << 16))
+        held = memory.limit - memory.used
+        memory.take(held)
+        connection.write(b"b" * (1 << 18), instead=b"c")
+        assert connection.usable
+        connection.write(b"d")
+        got = b""
+        while not got.endswith(b"d"):
+            got += await peer.receive_some()
+        assert got.strip(b"a") == b"cd"
+        memory.give(held)
+        await peer.aclose()
