Split the engine's inbox, timers, own copies and open requests into modules

No behaviour is changed: `Inbox` has the queue and the change log's news beside it, `Timers` what is due, `OwnCopies` the copies with the lease on which they are served, `OpenRequests` the table of what is owed an answer, `UnservedShare` the share that balancers are told by.

--- a/starlinghaven/program/health.py
+++ b/starlinghaven/program/health.py
@@ -22,6 +22,7 @@
 from starlinghaven.health.model import Facts, Health, ListSource, Thresholds, Verdict
 from starlinghaven.program import logs
 from starlinghaven.routing import engine as engines
+from starlinghaven.routing.inbox import QUEUE
 from starlinghaven.transport.connection import Connection
 from starlinghaven.transport.ring import Ring
 
@@ -88,7 +89,7 @@
             reachable=reachable,
             heard=len(e.heard & e.fleet_ids),
             queue=waiting,
-            queue_limit=engines.QUEUE,
+            queue_limit=QUEUE,
             open=e.open_requests,
             open_limit=engines.MOST_OPEN,
             fds=fds,
--- a/starlinghaven/routing/engine.py
+++ b/starlinghaven/routing/engine.py
@@ -2,14 +2,9 @@
 
 from __future__ import annotations
 
-import contextlib
-import heapq
-import itertools
 import logging
 import math
-from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass, field
 
 import trio
 
@@ -17,13 +12,16 @@
 from starlinghaven.decisions.execution import ExecutionRecord
 from starlinghaven.router import Router
 from starlinghaven.routing.clock import Clock
-from starlinghaven.routing.copies import Copies, Copy
+from starlinghaven.routing.copies import Copies
 from starlinghaven.routing.guard import Guard, OpenRequest
-from starlinghaven.routing.lease import PAUSE_MS, NewsLease
+from starlinghaven.routing.inbox import Inbox
+from starlinghaven.routing.lease import PAUSE_MS
+from starlinghaven.routing.open_requests import OpenRequests, UnservedShare
+from starlinghaven.routing.own_copies import OwnCopies
 from starlinghaven.routing.store_table import StoreTable
+from starlinghaven.routing.timers import Timers
 from starlinghaven.routing.types import (
     Answer,
-    Ask,
     Attempt,
     CacheSide,
     Counters,
@@ -32,7 +30,6 @@
     FleetNews,
     Hand,
     Left,
-    LogNews,
     NewsCurrent,
     NewsMissed,
     NewsRequired,
@@ -50,88 +47,47 @@
 
 TURN_S = 0.1  # seconds between two turns at most: a longer one shows that the process stood still
 OBSERVE_MS = 100.0  # between two looks at the wall clock; each stamp that is mapped looks as well
-MOST_NEWS = 1024  # events of the change log that may wait
-QUEUE = 256  # events that may wait, with up to 240 KB each; socket code waits when it is full
 BATCH = 256  # events handled before timers are looked at again
 MARGIN_MS = 25.0  # ms before the client's deadline at which its request ends here: the answer must travel
 GUARD_MS = 5.0  # ms after that, at which one that the Router still holds is failed
 MOST_OPEN = 2048  # requests held at once; beyond it they are refused unseen
-UNSERVED_STEP, UNSERVED_MS = 0.02, 5_000.0  # weight of one answer, and ms over which it is forgotten
 NOTES = {note.value: note for note in i.Note}
 TELLS_NOTHING = frozenset({i.Code.MISS, i.Code.MOOT, i.Code.CANCELLED})  # of the cache that was asked
-OLD_NEWS_MS = 3_000.0  # ms without proof of the log, from which what is served on it is logged
 STALL_MS = 50.0  # ms that an event or a timer waited, from which fronts and stores are read before it counts
 TURNS = 3  # turns of the loop in which they are: one for the wait, one for the reading, one to spare
 
 
-@dataclass(order=True, slots=True)
-class _Due:
-    when: float
-    order: int
-    what: object = field(compare=False)  # an Attempt's time-out, a request's deadline, a Router's token
-
-
-class _Wake:
-    """Stands in the queue for news that waits beside it."""
-
-
-_WAKE = _Wake()
-
-
 class Engine:
     """Feed it through `post`; it answers tickets and gives attempts to the cache side."""
 
     def __init__(
         self, settings: i.Settings, seed: int, clock: Clock, counters: Counters, copies: Copies | None = None
     ) -> None:
-        self._copies = copies
-        self._lease = NewsLease()
-        self._lapsed = False  # copies are not served on the lease, as last logged
-        self._news: deque[LogNews] = deque()
-        self._news_taken = trio.Event()
         self._clock_observed_at = -math.inf
         self.clock, self.counters, self._settings = clock, counters, settings
+        self.own_copies = OwnCopies(copies, clock, counters)
         self._router = Router(settings, seed, clock.now())
-        self._send, self._receive = trio.open_memory_channel[Event | _Wake](QUEUE)
+        self._inbox = Inbox(clock)
         self.caches: CacheSide | None = None
         self.tell: Callable[[str, bool], None] | None = None  # to other proxies: store, silent; never waits
         self.observer: Observer | None = None  # of loads, where proxies tell each other
-        self._open: dict[int, OpenRequest] = {}
-        self._numbers: dict[Ticket, int] = {}
-        self._ids: set[str] = set()  # of the open requests
+        self._open = OpenRequests()
         self._attempts: dict[tuple[int, int], Attempt] = {}
         self._stores = StoreTable(settings, clock)
         self._guard = Guard(self._stores, clock, counters)
-        self._due: list[_Due] = []
-        self._order = itertools.count()
-        self._next = itertools.count(1)
+        # An attempt's time-out, a request's deadline, or a token of the Router.
+        self._timers = Timers[Attempt | OpenRequest | int]()
         self._quiet = trio.Event()
         self.ready = self.draining = False
-        self._unserved, self._unserved_at = 0.0, clock.now()  # share of answers that did not serve, lately
+        self._unserved = UnservedShare(clock)
         self.heard: set[str] = set()  # stores that answered since the start
         self.turned_at = clock.now()  # ms at which the engine last took events: a stall shows here
-        self._waits_since: float | None = None  # ms since when there has been something in the queue
 
     # -- for other tasks --------------------------------------------------------------------------
 
     async def post(self, event: Event) -> None:
-        """The only way in. Waits while the queue is full.
-
-        News of the change log has a queue of its own, which is emptied before anything else is handled: a
-        purge or a drain must not wait behind the requests that it binds.
-        """
-        if isinstance(event, LogNews):
-            self._news.append(event)
-            with contextlib.suppress(trio.WouldBlock):
-                self._send.send_nowait(_WAKE)
-            while len(self._news) > MOST_NEWS:
-                if self._news_taken.is_set():  # else others wait for it already
-                    self._news_taken = trio.Event()
-                await self._news_taken.wait()
-            return
-        if self._waits_since is None:
-            self._waits_since = self.clock.now()
-        await self._send.send(event)
+        """The only way in. Waits while the queue is full; see `Inbox.post`."""
+        await self._inbox.post(event)
 
     @property
     def open_requests(self) -> int:
@@ -170,12 +126,12 @@
         when it recovers. It falls with caches that are listed but not up, and with what is refused."""
         own = self._stores.own_caches()
         up = sum(s.phase is i.Phase.UP for s in own) / len(own) if own else 0.0
-        return max(round(100 * up * (1.0 - self._unserved_now())), 1)
+        return max(round(100 * up * (1.0 - self._unserved.now())), 1)
 
     @property
     def waiting(self) -> int:
         """Events in the queue, not yet taken."""
-        return self._receive.statistics().current_buffer_used
+        return self._inbox.waiting
 
     @property
     def reachable(self) -> tuple[int, int]:
@@ -184,15 +140,12 @@
         return len(self._stores.own_caches()), sum(self._stores.is_own_cache(s) for s in usable)
 
     def unserved(self) -> float:
-        """Share of recent answers that did not serve, 0 to 1, forgotten over UNSERVED_MS."""
-        return self._unserved_now()
-
-    def _unserved_now(self) -> float:
-        return self._unserved * math.exp((self._unserved_at - self.clock.now()) / UNSERVED_MS)
+        """Share of recent answers that did not serve, 0 to 1."""
+        return self._unserved.now()
 
     async def quiet(self) -> None:
         """Waits until nothing that was taken is left unanswered."""
-        while self._open or self._receive.statistics().current_buffer_used:
+        while self._open or self._inbox.waiting:
             self._quiet = trio.Event()
             with trio.move_on_after(0.05):  # also looks at what is only in the queue
                 await self._quiet.wait()
@@ -202,19 +155,15 @@
     async def run(self, caches: CacheSide) -> None:
         self.caches = caches
         while True:
-            first: Event | _Wake | None = None
-            with trio.move_on_after(min(self._sleep_s(), TURN_S)):
-                first = await self._receive.receive()
+            now = self.clock.now()
+            sleep_s = max(self._timers.next_at - now, 0.0) / 1000
+            first = await self._inbox.receive(min(sleep_s, TURN_S))
             await self._catch_up()
             self._turn()
             if first is not None:
-                self._handle_queued(first)
-            for _ in range(BATCH):
-                try:
-                    self._handle_queued(self._receive.receive_nowait())
-                except trio.WouldBlock:
-                    self._waits_since = None
-                    break
+                self.handle(first)
+            for event in self._inbox.batch(BATCH):
+                self.handle(event)
             self.run_due()
 
     def _turn(self) -> None:
@@ -223,19 +172,11 @@
         if now - self._clock_observed_at >= OBSERVE_MS:
             self._clock_observed_at = now
             self.clock.observe()
-        if self._lease.turn(now):
+        if self.own_copies.lease.turn(now):
             self.counters.add("pauses")
-        while self._news:
-            self.handle(self._news.popleft())
-        self._news_taken.set()
-        if self._copies and self._lease.lapsed(now) is not self._lapsed:
-            self._lapsed = not self._lapsed
-            age_s = (now - self._lease.current_to_ms) / 1000
-            log.info("own copies %s news_age_s=%.1f", "suspended" if self._lapsed else "resumed", age_s)
-
-    def _handle_queued(self, event: Event | _Wake) -> None:
-        if not isinstance(event, _Wake):
-            self.handle(event)
+        for news in self._inbox.news():
+            self.handle(news)
+        self.own_copies.note_lease(now)
 
     async def _catch_up(self) -> None:
         """After a stall, what came in meanwhile is read before anything is decided.
@@ -244,16 +185,13 @@
         begun, or timed out, ahead of them would be wrong.
         """
         now = self.clock.now()
-        since = now if self._waits_since is None else self._waits_since
-        waited = now - min([since, *(due.when for due in self._due[:1])])
+        since = now if self._inbox.waits_since is None else self._inbox.waits_since
+        waited = now - min(since, self._timers.next_at)
         if waited > STALL_MS or now - self.turned_at > PAUSE_MS:
             self.counters.add("stalls")
             for _ in range(TURNS):
                 await trio.lowlevel.checkpoint()
 
-    def _sleep_s(self) -> float:
-        return max(self._due[0].when - self.clock.now(), 0.0) / 1000 if self._due else math.inf
-
     def handle(self, event: Event) -> None:
         """Only for the engine's one task, and for tests that step it by hand."""
         match event:
@@ -278,10 +216,10 @@
             case PurgeNews():
                 self._purge(event)
             case NewsRequired():
-                self._lease.require()
+                self.own_copies.lease.require()
                 self._decide(i.NewsCurrent(0.0))
             case NewsCurrent():
-                self._lease.renew(event.as_of_ms)
+                self.own_copies.lease.renew(event.as_of_ms)
                 self._decide(i.NewsCurrent(self.clock.now() - event.as_of_ms))
             case NewsMissed():
                 self._missed()
@@ -289,31 +227,22 @@
     def _purge(self, news: PurgeNews) -> None:
         self.counters.add("purges")
         made = self.clock.latest(news.unix_ms)
-        if self._copies:
-            self._copies.purge(news.group, news.key, made)
+        self.own_copies.purge(news.group, news.key, made)
         self._decide(i.Purge(news.group, self.clock.now() - made, news.key))
 
     def _missed(self) -> None:
         """Any object may have been purged up to now, and nobody will say which."""
         self.counters.add("changelog_gaps")
-        now = self.clock.now()
-        self._lease.miss(now)
-        if self._copies:
-            self._copies.purges.raise_floor(now)
+        self.own_copies.miss(self.clock.now())
         self._decide(i.NewsMissed())
 
-    def _at(self, when: float, what: object) -> None:
-        heapq.heappush(self._due, _Due(when, next(self._order), what))
-
     def run_due(self) -> None:
-        now = self.clock.now()
-        while self._due and self._due[0].when <= now:
-            what = heapq.heappop(self._due).what
+        for what in self._timers.due(self.clock.now()):
             if isinstance(what, Attempt):
                 self._time_out(what)
             elif isinstance(what, OpenRequest):
                 self._out_of_time(what)
-            elif isinstance(what, int):
+            else:
                 self._decide(i.Timer(what))
 
     # -- requests ---------------------------------------------------------------------------------
@@ -325,74 +254,39 @@
             request_log.info("request %s refused: %d requests open", ask.id, len(self._open))
             self._tell(event, Answer(Result.REFUSED, wait_ms=self._settings.pushback_ms))
             return
-        if ask.id in self._ids:  # guards an open request: stores know it by its id alone
+        if self._open.has_id(ask.id):
             self.counters.add("ids_again")
             request_log.info("request %s failed: its id is that of an open request", ask.id)
             self._tell(event, Answer(Result.FAILED))
             return
-        self._ids.add(ask.id)
-        number = next(self._next)
         deadline = ask.taken_ms + max(ask.patience_ms - MARGIN_MS, ask.patience_ms / 2)
         cls = self._settings.classes[ask.cls]
         execution = ExecutionRecord(cls, self._settings.second_copies)
         request = OpenRequest(ask, event.ticket, deadline, execution)
-        self._open[number] = request
-        self._numbers[event.ticket] = number
-        self._at(deadline + GUARD_MS, request)
+        number = self._open.add(request)
+        self._timers.at(deadline + GUARD_MS, request)
         patience = max(deadline - self.clock.now(), 0.0)
         part = ask.part or 0
-        own = self._own(ask)
+        own = self.own_copies.offered(ask)
         if self.observer and not self._settings.classes[ask.cls].uncached:
             self.observer.asked(ask.key)
         self._decide(
             i.Request(number, ask.cls, patience, ask.key, ask.group, part, ask.size_kb, ask.again, own)
         )
 
-    def _own(self, ask: Ask) -> i.Own | None:
-        """The copy held here, as the Router sees it."""
-        copy = self._held_copy(ask) if ask.purgeable else None
-        if copy is None or self._copies is None:
-            return None
-        age_ms = self.clock.now() - copy.given_ms
-        return i.Own(age_ms, self._copies.ready_ms(len(copy.body)))
-
-    def _held_copy(self, ask: Ask) -> Copy | None:
-        """The copy that may be served for a request just now, by what is known of purges."""
-        copy = self._copies.find(ask) if self._copies else None
-        if copy is not None and not self._lease.covers(copy.valid_as_of_ms, self.clock.now()):
-            self.counters.add("own_copies_suspended")
-            return None
-        return copy
-
     def _serve(self, action: i.Serve) -> None:
         """The Router wants the own copy served. It may have gone since it was asked about."""
         request = self._open.get(action.request)
         if request is None:
             return
-        copy = self._held_copy(request.ask)
-        if copy is None or self._copies is None:
-            self.counters.add("own_copies_gone")
+        answer = self.own_copies.answer(request.ask)
+        if answer is None:
             self._end(action.otherwise)
-            return
-        self.counters.add("own_copies")
-        self._note_old_news(request.ask, copy)
-        unchanged = bool(request.ask.have) and request.ask.have == copy.tag
-        self._copies.sent(len(copy.body), unchanged)
-        result, body = (Result.UNCHANGED, b"") if unchanged else (Result.SERVED, copy.body)
-        self._finish(action.request, Answer(result, body, tag=copy.tag))
-
-    def _note_old_news(self, ask: Ask, copy: Copy) -> None:
-        """Logs a copy that is served while the change log has not been heard for longer than usual."""
-        now = self.clock.now()
-        news_age_ms = now - self._lease.current_to_ms
-        if self._lease.required and news_age_ms > OLD_NEWS_MS:
-            request_log.info(
-                "request %s served from own copy object=%s age_s=%.1f news_age_s=%.1f",
-                *(ask.id, ask.key, (now - copy.given_ms) / 1000, news_age_ms / 1000),
-            )
+        else:
+            self._finish(action.request, answer)
 
     def _left(self, ticket: Ticket) -> None:
-        number = self._numbers.get(ticket)
+        number = self._open.number(ticket)
         if number is not None:  # else its answer crossed the client's leaving
             self._close(number)
             self.counters.add("left")
@@ -400,7 +294,7 @@
 
     def _out_of_time(self, request: OpenRequest) -> None:
         """The last guard of the deadline: the Router has ended its requests before, as a rule."""
-        number = self._numbers.get(request.ticket)
+        number = self._open.number(request.ticket)
         if number is not None and self._open.get(number) is request:
             self.counters.add("overdue")
             self._finish(number, Answer(Result.FAILED, late=True))
@@ -408,10 +302,7 @@
 
     def _close(self, number: int) -> OpenRequest:
         """The one place where a request leaves the engine."""
-        request = self._open.pop(number)
-        request.attempts.clear()  # each knows those before it, itself too: a cycle that would stay for long
-        del self._numbers[request.ticket]
-        self._ids.remove(request.ask.id)
+        request = self._open.close(number)
         if not self._open:
             self._quiet.set()
         return request
@@ -428,8 +319,7 @@
         outcome = Result.SERVED if answer.result is Result.UNCHANGED else answer.result
         self.counters.add(f"class{request.ask.cls}_{outcome.name.lower()}")
         unserved = answer.result in (Result.REFUSED, Result.FAILED)
-        self._unserved = self._unserved_now() + UNSERVED_STEP * (unserved - self._unserved_now())
-        self._unserved_at = self.clock.now()
+        self._unserved.add(unserved)
         request.ticket.answer(answer)
 
     # -- attempts ---------------------------------------------------------------------------------
@@ -457,8 +347,7 @@
             request.last = e.code
             request.lacking = e.code is i.Code.MISS and a.source != a.store
             if e.code is i.Code.OK:
-                if self._copies and request.ask.purgeable and e.since_ms and not e.unchanged:
-                    self._copies.put(request.ask, e, a.keep, a.sent_ms)
+                self.own_copies.keep(a, e)
                 result = Result.UNCHANGED if e.unchanged else Result.SERVED
                 self._finish(a.request, Answer(result, e.body, tag=e.tag))
         self._decide(
@@ -543,7 +432,7 @@
         if attempt.number >= self._settings.most_attempts or not self._guard.may_begin(request, attempt):
             self._settle(attempt, Ended(attempt, i.Code.MOOT))
             return
-        self._at(now + attempt.timeout_ms, attempt)
+        self._timers.at(now + attempt.timeout_ms, attempt)
         if self.observer and store is not None and self._stores.is_own_cache(store):
             self.observer.sent(attempt.store, now)
         self.caches.send(attempt)
@@ -571,7 +460,7 @@
                     if a := self._attempts.get((action.request, action.attempt)):
                         self._give_up(a, i.Code.CANCELLED)
                 case i.SetTimer():
-                    self._at(self.clock.now() + action.delay_ms, action.token)
+                    self._timers.at(self.clock.now() + action.delay_ms, action.token)
                 case i.Tell():
                     self.counters.add("told_silent" if action.silent else "told_serving")
                     if self.tell is not None:
--- a/tests/steps.py
+++ b/tests/steps.py
@@ -83,12 +83,14 @@
         self.takes = True  # whether the system takes what is written
         self.queued = self.sent = self.unsent = 0
 
-    def write(self, data: bytes) -> None:
-        if not self.closed:
-            self.written.append(data)
-            self.queued += len(data)
-            if self.takes:
-                self.sent += len(data)
+    def write(self, data: bytes, instead: bytes = b"") -> bool:
+        if self.closed:
+            return False
+        self.written.append(data)
+        self.queued += len(data)
+        if self.takes:
+            self.sent += len(data)
+        return True
 
     def abort(self) -> None:
         self.closed = True
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -117,8 +117,8 @@
     async def made(env: dict[str, str]) -> tuple[int, int, int]:
         more = {"limits": {"memory_mb": mb, "sockets": 384}, "flow_bytes_per_s": 1e5, "link_bytes_per_s": 1e6}
         core = Daemon(config.parse(raw() | more, env), Operator()).core
-        assert core.engine._copies is not None
-        return core.memory.limit, core.engine._copies.limit, core.caches.pool._most
+        assert core.engine.own_copies.copies is not None
+        return core.memory.limit, core.engine.own_copies.copies.limit, core.caches.pool._most
 
     alone, beside = trio.run(made, {}), trio.run(made, {"LB_PASSED_SOCKET": "4"})
     total = mb << 20
--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -14,7 +14,8 @@
 from starlinghaven.decisions.purges import COUNTS_AS_KNOWN_MS, PurgeTable
 from starlinghaven.protocol.changelog import Progress
 from starlinghaven.routing.copies import Copies
-from starlinghaven.routing.engine import MOST_NEWS, Engine
+from starlinghaven.routing.engine import Engine
+from starlinghaven.routing.inbox import MOST_NEWS
 from starlinghaven.routing.lease import PAUSE_MS, NewsLease
 from starlinghaven.routing.types import (
     Ask,
@@ -235,4 +236,4 @@
 
 def test_an_engine_without_a_change_log_needs_no_news() -> None:
     made = engine(Time(), Stores())
-    assert made._lease.covers(0.0, 1e12) and not made._lease.lapsed(1e12)
+    assert made.own_copies.lease.covers(0.0, 1e12) and not made.own_copies.lease.lapsed(1e12)
