Let the soak check limits, datagrams and the largest requests, and kill amid a write

The gaps that docs/soak.md named: descriptors and memory of each process (`limits_kept`), length and sender of datagrams, which now pass through the lab's relay with loss, doubles and delay from the seed (`datagrams_kept`), the share of the largest requests that is served (`largest_answered`). The shim can kill a process in the middle of a write to its lasting folder; a second store is often taken out by hand, so that the first must outlive that. Crowds have 150 or 400 connections. What was drawn for a seed before stays as it was.

--- a/starlinghaven/lab/soak/checks.py
+++ b/starlinghaven/lab/soak/checks.py
@@ -24,6 +24,9 @@
 DEADLINE_SLACK_S = 0.15  # that a store's deadline may lie behind the client's
 CROSSED_S = 0.25  # that a DROP may be seen after the attempt that follows it
 SOCKET_SLACK_S = 0.05  # by which each time limit is longer on sockets
+MOST_DATAGRAM_BYTES = 256
+LARGEST_SHARE = 0.5  # of the share of its class that is served
+FROM_TENTH, LEAST_ASKED = 400, 100  # requests of a class from which the largest are a tenth; that are judged
 LEAST_SERVED = 0.3  # share of the requests of a soak that are served; below it a soak proves little
 
 
@@ -342,6 +345,50 @@
             yield f"call {e['call']}: a copy of {age_s:.2f} s, {oldest_s:.2f} s at most"
 
 
+def limits_kept(history: Sequence[Entry]) -> Iterator[str]:
+    """No process holds more descriptors or memory than it may."""
+    limits = next(e for e in history if e["what"] == "limits")
+    for e in history:
+        if e["what"] != "used":
+            continue
+        for name in ("descriptors", "memory_mb"):
+            if e[name] > limits[name]:
+                yield f"proxy {e['proxy']} at {e['t']:.2f} s: {e[name]} {name} of {limits[name]}"
+
+
+def datagrams_kept(history: Sequence[Entry]) -> Iterator[str]:
+    """Datagrams are no longer than allowed, and come from the sender's own address."""
+    for e in history:
+        if e["what"] == "datagrams" and e["longest"] > MOST_DATAGRAM_BYTES:
+            yield f"a datagram of {e['longest']} bytes"
+        if e["what"] == "datagrams" and e["strange"]:
+            yield f"{e['strange']} datagrams from addresses that are no peer's"
+
+
+def largest_answered(history: Sequence[Entry]) -> Iterator[str]:
+    """The largest requests of a class are served at least half as often as all of the class.
+
+    Only requests count whose sending takes at most half of their client's time.
+    """
+    served = {e["call"] for e in history if e["what"] == "answer" and e["word"] == "RESULT"}
+    left = {e["call"] for e in history if e["what"] == "cancel"}
+    asked = defaultdict[str, list[Entry]](list)
+    for e in history:
+        if e["what"] != "ask" or e.get("unsent") or e["call"] in left:
+            continue
+        if 1000 * e["size_kb"] / d.PACE_KB_PER_S <= e["ttl"] / 2:
+            asked[e["cls"]].append(e)
+    for name, asks in asked.items():
+        asks.sort(key=lambda e: float(e["size_kb"]))
+        largest = asks[-(len(asks) // (10 if len(asks) >= FROM_TENTH else 4)) :]
+        if len(asks) < LEAST_ASKED:
+            continue
+        share = sum(e["call"] in served for e in asks) / len(asks)
+        theirs = sum(e["call"] in served for e in largest) / len(largest)
+        if theirs < LARGEST_SHARE * share:
+            yield f"{name}: {theirs:.2f} of the largest {len(largest)} served, {share:.2f} of all"
+
+
 def processes_live(history: Sequence[Entry]) -> Iterator[str]:
     """No process ends but by a signal that was sent to it, and restarted ones are ready within 10 s."""
     for e in history:
@@ -371,6 +418,9 @@
     answers_whole,
     nothing_for_clients_gone,
     deadlines_passed_on,
+    limits_kept,
+    datagrams_kept,
+    largest_answered,
     processes_live,
     enough_is_served,
 )
--- a/starlinghaven/lab/soak/plan.py
+++ b/starlinghaven/lab/soak/plan.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from enum import StrEnum
 from random import Random
 
@@ -15,7 +15,7 @@
 QUIET_LOG = 0.4  # share of the processes whose change log has no trouble
 CALM_END_S = 4.0  # at the end of a soak, in which no fault begins
 PURGE_RATES = (0.9, 0.9, 4.0)  # purges a second
-CROWD = 150  # idle connections of a crowd
+CROWDS = (150, 150, 400)  # idle connections of a crowd: of 256 places for clients
 
 
 class Kind(StrEnum):
@@ -71,7 +71,7 @@
     kind: Kind
     proxy: int = 0
     seconds: float = 0.0  # how long it lasts, or how late frames come
-    choice: int = 0  # which object, group or store
+    choice: int = 0  # which object, group or store; of a crowd: how many connections
     fault: StoreFault | None = None
 
 
@@ -90,6 +90,16 @@
     calls_fail: float = 0.0  # share of calls of sockets that fail for a moment, or do less than asked
     folder_fails: float = 0.0  # share of writes to the lasting folder that fail
     wall_steps: tuple[WallStep, ...] = ()
+    dies_writing: float = 0.0  # share of writes to the lasting folder in whose middle the process is killed
+
+
+@dataclass(frozen=True, slots=True)
+class NetworkFaults:
+    """What happens to the datagrams between the processes; see `lab.faults`."""
+
+    loss: float = 0.0
+    double: float = 0.0
+    delay_ms: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -100,6 +110,7 @@
     seconds: float
     deployment: Deployment
     system: SystemFaults
+    network: NetworkFaults = NetworkFaults()
     actions: tuple[Action, ...] = field(default=())
 
     @property
@@ -124,7 +135,17 @@
     actions += _list_changes(random, seconds, deployment, outages)
     actions += _by_hand(random, seconds, deployment)
     system = _system_faults(random, seconds)
-    return Plan(seed, seconds, deployment, system, tuple(sorted(actions, key=lambda action: action.at_s)))
+    later = Random(f"{seed} later")  # of its own: what was drawn before it was there stays as it was
+    system = replace(system, dies_writing=later.choice((0.0, 0.0, 0.3)))
+    network = later.choice((NetworkFaults(), NetworkFaults(0.2, 0.2, 300.0)))
+    actions += _second_by_hand(later, actions)
+    actions = [_sized(action, later) for action in sorted(actions, key=lambda action: action.at_s)]
+    return Plan(seed, seconds, deployment, system, network, tuple(actions))
+
+
+def _sized(action: Action, random: Random) -> Action:
+    """A crowd with the number of its connections; other actions as they are."""
+    return replace(action, choice=random.choice(CROWDS)) if action.kind is Kind.CROWD else action
 
 
 def _system_faults(random: Random, seconds: float) -> SystemFaults:
@@ -251,3 +272,9 @@
     at, proxy = random.uniform(1.0, seconds / 2), random.randrange(deployment.proxies)
     back = at + random.uniform(4.0, seconds / 2)
     return [Action(at, Kind.EXCLUDE, proxy, choice=1), Action(back, Kind.INCLUDE, proxy, choice=1)]
+
+
+def _second_by_hand(random: Random, actions: list[Action]) -> list[Action]:
+    """Another store is often taken out of use too: a write that is cut short must not lose the first."""
+    first = [action for action in actions if action.kind is Kind.EXCLUDE and random.random() < 0.7]
+    return [replace(action, at_s=action.at_s + random.uniform(0.5, 2.0), choice=2) for action in first]
--- a/starlinghaven/lab/soak/shim.py
+++ b/starlinghaven/lab/soak/shim.py
@@ -13,6 +13,7 @@
 import os
 import random
 import runpy
+import signal
 import socket
 import sys
 import time
@@ -38,8 +39,16 @@
 class Shim:
     """The faults of one process."""
 
-    def __init__(self, calls_fail: float, folder_fails: float, wall_steps: list[Any], seed: int) -> None:
+    def __init__(
+        self,
+        calls_fail: float,
+        folder_fails: float,
+        wall_steps: list[Any],
+        dies_writing: float,
+        seed: int,
+    ) -> None:
         self._calls, self._folder, self._steps = calls_fail, folder_fails, wall_steps
+        self._dies_writing = dies_writing
         self._random = random.Random(seed)
         self._began = time.monotonic()
         self._outbound: set[int] = set()
@@ -51,7 +60,7 @@
             self._install_clock()
         if self._calls:
             self._install_sockets()
-        if self._folder:
+        if self._folder or self._dies_writing:
             self._install_folder()
 
     def _install_clock(self) -> None:
@@ -142,15 +151,38 @@
             real_replace(source, target, **more)
 
         def open_(file: Any, *args: Any, **more: Any) -> Any:
-            if folder and str(file).startswith(folder):
-                fail()
-            return real_open(file, *args, **more)
+            path = os.readlink(f"/proc/self/fd/{file}") if isinstance(file, int) else str(file)
+            if not folder or not path.startswith(folder):
+                return real_open(file, *args, **more)
+            fail()
+            opened = real_open(file, *args, **more)
+            dies = opened.writable() and self._random.random() < self._dies_writing
+            return HalfWritten(opened) if dies else opened
 
         setattr(os, "replace", replace)  # noqa: B010
         setattr(builtins, "open", open_)  # noqa: B010
         setattr(io, "open", open_)  # noqa: B010
 
 
+class HalfWritten:
+    """A file whose first write is cut short by the end of the process."""
+
+    def __init__(self, file: Any) -> None:
+        self._file = file
+
+    def __enter__(self) -> HalfWritten:
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self._file.close()
+
+    def write(self, data: Any) -> None:
+        """Writes half of the data and kills the process."""
+        self._file.write(data[: len(data) // 2])
+        self._file.flush()
+        os.kill(os.getpid(), signal.SIGKILL)
+
+
 def main() -> None:
     """Installs the faults and runs the program, or the faulty variant of it that is named."""
     told = json.loads(sys.argv[1])
--- a/starlinghaven/lab/soak/stage.py
+++ b/starlinghaven/lab/soak/stage.py
@@ -19,11 +19,13 @@
 
 import trio
 
+from starlinghaven.lab.faults import Faults
 from starlinghaven.lab.history import History
 from starlinghaven.lab.lateness import watch_lateness
+from starlinghaven.lab.relays import DatagramRelay
 from starlinghaven.lab.soak.clients import SoakClient, crowd
 from starlinghaven.lab.soak.deployment import KINDS, WEIGHT, ZONES
-from starlinghaven.lab.soak.plan import CROWD, Action, Kind, Plan, SystemFaults
+from starlinghaven.lab.soak.plan import Action, Kind, Plan, SystemFaults
 from starlinghaven.lab.soak.stores import GROUPS, SoakTier
 from starlinghaven.standins.changelog import DRAINING, GONE, READY, ChangeLog, LogEndpoint, LogEvent
 from starlinghaven.standins.platform import configuration, free_port, operator
@@ -35,6 +37,8 @@
 STORES_HOST = 250  # the last number of the stores' address
 READY_S = 10.0  # that a process may take to be ready
 BEFORE_KILL_S = 0.7  # and the longest deadline, between SIGTERM and the platform's earliest SIGKILL
+MEMORY_MB, SOCKETS = 96, 512  # the limits of one process
+MEASURE_S = 0.5  # between two readings of what each process uses
 BACK_S = 0.4  # between a process's end and its next start
 LIFECYCLES = {READY: "active", DRAINING: "leaving", GONE: "left"}
 SIGNALS = (signal.SIGUSR1, signal.SIGHUP, signal.SIGHUP, signal.SIGUSR1, signal.SIGHUP)
@@ -85,6 +89,7 @@
         self._tier = SoakTier(plan.deployment, self.history, self._random, own_host(STORES_HOST))
         self._proxies = [Proxy(number) for number in range(plan.proxies)]
         self._keys = [f"{n:016x}" for n in range(1, OBJECTS + 1)]
+        self._relay: DatagramRelay | None = None  # between the processes, where the settings allow peers
 
     async def run(self) -> None:
         """Plays the plan and saves the history."""
@@ -92,6 +97,7 @@
         try:
             async with trio.open_nursery() as nursery:
                 await nursery.start(self._tier.run)
+                self._open_relay(nursery)
                 for proxy in self._proxies:
                     await self._open_endpoint(proxy, nursery)
                     await self._start(proxy)
@@ -100,13 +106,15 @@
                 self._note_deployment()
                 self._start_clients(nursery)
                 nursery.start_soon(watch_lateness, self.history)
-                nursery.start_soon(self._watch_processes)
+                nursery.start_soon(self._watch_processes, nursery)
+                nursery.start_soon(self._measure)
                 await self._play(nursery)
                 self.history.add("over")
                 nursery.cancel_scope.cancel()
         finally:
             with trio.CancelScope(shield=True):
                 await self._end_all()
+            self._close_relay()
             self.history.save(self.out / "history.jsonl")
 
     def _note_deployment(self) -> None:
@@ -116,8 +124,31 @@
         for store in self.plan.deployment.stores:
             self.history.add("store", store=store.id, zone=store.zone, kind=store.kind, cell=store.cell)
         deployment = self.plan.deployment
-        limits = {"attempts": deployment.attempts, "second_copies": deployment.second_copies}
-        self.history.add("limits", **limits, bypass=deployment.bypass)
+        self.history.add(
+            "limits",
+            attempts=deployment.attempts,
+            second_copies=deployment.second_copies,
+            bypass=deployment.bypass,
+            descriptors=SOCKETS,
+            memory_mb=MEMORY_MB,
+        )
+
+    def _open_relay(self, nursery: trio.Nursery) -> None:
+        """Lets all datagrams between the processes pass through the lab, with the faults of the plan."""
+        if not self.plan.deployment.peers:
+            return
+        faults, network = Faults(self.plan.seed), self.plan.network
+        faults.network(network.loss, network.double, network.delay_ms)
+        self._relay = DatagramRelay([(proxy.host, self._port) for proxy in self._proxies], faults)
+        nursery.start_soon(self._relay.run)
+
+    def _close_relay(self) -> None:
+        if self._relay is not None:
+            counts = self._relay.counts
+            self.history.add(
+                "datagrams", longest=self._relay.longest, sent=counts["sent"], strange=counts["strange"]
+            )
+            self._relay.close()
 
     def _start_clients(self, nursery: trio.Nursery) -> None:
         weights = [1 / (rank + 1) for rank in range(OBJECTS)]
@@ -133,13 +164,36 @@
                 )
                 nursery.start_soon(client.run, self._keys, weights)
 
-    async def _watch_processes(self) -> None:
+    async def _watch_processes(self, nursery: trio.Nursery) -> None:
         while True:
             for proxy in self._proxies:
-                if proxy.process is not None and not proxy.up and not proxy.expected_to_end:
+                if proxy.process is None or proxy.up or proxy.expected_to_end:
+                    continue
+                proxy.expected_to_end = True
+                if self.plan.system.dies_writing and proxy.process.returncode == -signal.SIGKILL:
+                    self.history.add("kill", proxy=proxy.number, how="amid a write")
+                    nursery.start_soon(self._start, proxy)
+                else:
                     self.history.add("crash", proxy=proxy.number, code=proxy.process.returncode)
-                    proxy.expected_to_end = True
-            await trio.sleep(0.1)
+            await trio.sleep(0.02)
+
+    async def _measure(self) -> None:
+        """Notes the descriptors and the memory of each process."""
+        page = os.sysconf("SC_PAGE_SIZE")
+        while True:
+            for proxy in self._proxies:
+                if proxy.up and proxy.process is not None:
+                    with contextlib.suppress(OSError):
+                        folder = Path(f"/proc/{proxy.process.pid}")
+                        resident = int((folder / "statm").read_text().split()[1]) * page
+                        descriptors = len(list((folder / "fd").iterdir()))
+                        self.history.add(
+                            "used",
+                            proxy=proxy.number,
+                            descriptors=descriptors,
+                            memory_mb=round(resident / 2**20, 1),
+                        )
+            await trio.sleep(MEASURE_S)
 
     async def _play(self, nursery: trio.Nursery) -> None:
         started = trio.current_time()
@@ -158,14 +212,15 @@
             "name": f"n{proxy.number}",
             "listen": f"{proxy.host}:{self._port}",
             "seed": f"{self._random.getrandbits(64):016x}",
-            "limits": {"cores": 1.0, "memory_mb": 96, "sockets": 512},
+            "limits": {"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": SOCKETS},
             "settings": deployment.settings(proxy.number),
         }
         if deployment.own_copies:
             written |= {"flow_bytes_per_s": 310_000, "link_bytes_per_s": 1_240_000}
         if deployment.peers:
-            peers = [f"{other.host}:{self._port}" for other in self._proxies]
-            written |= {"peer_listen": peers[proxy.number], "peers": peers}
+            assert self._relay is not None
+            peers = ["{}:{}".format(*address) for address in self._relay.addresses]
+            written |= {"peer_listen": f"{proxy.host}:{self._port}", "peers": peers}
         written["known"] = self._known()
         path = self.out / "logs" / f"n{proxy.number}.json"
         draft = path.with_suffix(".draft")
@@ -383,7 +438,7 @@
                     await trio.sleep(action.seconds / len(SIGNALS))
             case Kind.CROWD:
                 self.history.add("crowd", proxy=proxy.number)
-                await crowd((proxy.host, self._port), CROWD, action.seconds)
+                await crowd((proxy.host, self._port), action.choice, action.seconds)
 
     async def _stop(self, proxy: Proxy, seconds: float) -> None:
         self.history.add("stall", proxy=proxy.number, s=seconds)
--- a/starlinghaven/lab/soak/variants.py
+++ b/starlinghaven/lab/soak/variants.py
@@ -108,7 +108,7 @@
         """
         from starlinghaven.program.platform import Client
         say = Client._say
-        Client._say = lambda client, text: (say(client, text), say(client, text))
+        Client._say = lambda *told: (say(*told), say(*told))
         """,
         "one_final_answer",
     ),
@@ -117,7 +117,7 @@
         import random
         from starlinghaven.program.platform import Client
         say = Client._say
-        Client._say = lambda client, text: random.random() < 0.02 or say(client, text)
+        Client._say = lambda *told: random.random() < 0.02 or say(*told)
         """,
         "one_final_answer",
     ),
@@ -168,6 +168,75 @@
         """,
         "attempts_allowed",
     ),
+    "asks-in-any-zone": Variant(
+        """
+        from starlinghaven import interface
+        from starlinghaven.decisions.topology import Topology
+        update = Topology.update
+        def wider(topology, event):
+            update(topology, event)
+            up = [s for s in topology.stores.values() if s.m.phase is interface.Phase.UP]
+            topology.caches = [s for s in up if s.m.kind == 0]
+        Topology.update = wider
+        """,
+        "attempts_allowed",
+    ),
+    "keeps-descriptors": Variant(
+        """
+        import os
+        from starlinghaven.program.platform import Client
+        call = Client._call
+        def keep(client, told):
+            for _ in range(4):
+                os.dup(2)
+            call(client, told)
+        Client._call = keep
+        """,
+        "limits_kept",
+    ),
+    "keeps-memory": Variant(
+        """
+        from starlinghaven.program.platform import Client
+        call, kept = Client._call, []
+        Client._call = lambda client, told: (kept.append(b"x" * 2**19), call(client, told))
+        """,
+        "limits_kept",
+    ),
+    "long-datagrams": Variant(
+        """
+        from starlinghaven.fleet import swim
+        encode = swim.encode
+        swim.encode = lambda datagram: encode(datagram) + bytes(240)
+        """,
+        "datagrams_kept",
+    ),
+    "refuses-large": Variant(
+        """
+        from starlinghaven.routing import engine
+        take = engine.Engine._take
+        def refuse(self, event):
+            if event.ask.size_kb > 400:
+                self._tell(event, engine.Answer(engine.Result.REFUSED))
+            else:
+                take(self, event)
+        engine.Engine._take = refuse
+        """,
+        "largest_answered",
+    ),
+    "writes-in-place": Variant(
+        """
+        from starlinghaven.program.handover import Handover
+        def write(handover, name, text):
+            try:
+                with open(handover._path(name), "w") as file:
+                    file.write(text)
+            except OSError:
+                return False
+            return True
+        Handover._write = write
+        """,
+        "exclusions_kept",
+    ),
     "falls-on-a-passing-error": Variant(
         """
         from starlinghaven.transport import errors
