--- a/benchmarks/health_removal.py
+++ b/benchmarks/health_removal.py
@@ -22,7 +22,7 @@
 
 from starlinghaven.health import wire
 from starlinghaven.health.model import Facts, Health, ListSource
-from starlinghaven.program.health import descriptors
+from starlinghaven.program.operations.health import descriptors
 from tests.loopback import STORES, free_port, operator
 from tests.test_balancer_health import balancers, proxy, removal_s, taken_in
 
--- a/starlinghaven/fleet/stance.py
+++ b/starlinghaven/fleet/stance.py
@@ -18,8 +18,8 @@
 from enum import Enum
 
 from starlinghaven.fleet.codec import Status
+from starlinghaven.fleet.members import Member
 from starlinghaven.fleet.settings import Limits
-from starlinghaven.fleet.swim import Member
 
 
 class Stance(Enum):
--- a/starlinghaven/fleet/swim.py
+++ b/starlinghaven/fleet/swim.py
@@ -16,13 +16,11 @@
 
 from __future__ import annotations
 
-import heapq
 import math
 from collections import Counter
 from collections.abc import Iterable
 from dataclasses import dataclass
 from random import Random
-from zlib import crc32
 
 from starlinghaven.datagrams import MOST_BYTES, Refused
 from starlinghaven.fleet.codec import (
@@ -42,50 +40,20 @@
     encode,
     life_of,
 )
+from starlinghaven.fleet.dissemination import ClaimQueue
+from starlinghaven.fleet.members import QUIET_STATUS, Change, Member
 from starlinghaven.fleet.news import News
+from starlinghaven.fleet.pieces import Pieces
 from starlinghaven.fleet.settings import Limits
 from starlinghaven.fleet.suspicion import OwnHealth, Suspicion
 from starlinghaven.fleet.universe import Address, Universe
 
-PIECE = 16  # members in one piece of anti-entropy: their claims fit into one datagram
 PIECES_ASKED = 32  # digests in one SYNC
 PIECES_SENT = 3  # pieces that answer one SYNC; the rest follows with the next
 FIRST_SYNC_MS = 300.0  # between exchanges of digests at first; doubled each time nothing new came by one
 START_SENDS = 2  # sends of a claim on a member that is new to one who has just started itself
 ALONE_LEAST = 2  # members that one accuser may have under suspicion with no other voice, in any fleet
 MOST_RELAYS = 64  # probes made for others at once
-QUIET_STATUS = (Status.FAILED, Status.LEFT)
-
-
-@dataclass(slots=True)
-class Member:
-    """What is held of one member. Version is (life, incarnation)."""
-
-    status: Status = Status.UNKNOWN
-    life: int = 0
-    inc: int = 0
-    accuser: int = NOBODY
-    since: float = -math.inf  # when its status was taken, ms
-    heard_at: float = -math.inf  # when a datagram came from it, ms
-    tried: bool = False  # probed in vain while nothing was known of it
-    vouched: bool = False  # last known to live by a helper's word alone: it does not answer here
-
-    @property
-    def version(self) -> tuple[int, int]:
-        return (self.life, self.inc)
-
-
-@dataclass(frozen=True, slots=True)
-class Change:
-    """A member's state changed, and why: for logs, tests and the console."""
-
-    at: float
-    member: int
-    before: Status
-    after: Status
-    life: int
-    inc: int
-    cause: str
 
 
 @dataclass(slots=True)
@@ -141,7 +109,9 @@
         self._relays: dict[int, _Relay] = {}
         self._unanswered: dict[int, float] = {}  # members that did not answer a probe for another, and when
         self._suspicions: dict[int, Suspicion] = {}
-        self._spread: dict[int, int] = {}  # claims still to be spread: member -> sends left
+        # Enough sends of a claim to reach all with high probability (SWIM, 4.1).
+        self._claims = ClaimQueue(math.ceil(limits.transmissions * math.log10(self.n + 1)))
+        self._pieces = Pieces(self.members, universe)
         self._round: list[int] = []  # members still to be probed in this round, last first
         self._credit: dict[int, tuple[float, float]] = {}  # sender -> replies left, and when counted
         self._told_at: dict[int, float] = {}  # members that were told of an accusation, and when
@@ -152,7 +122,7 @@
         self._sync_at = now + FIRST_SYNC_MS * (0.5 + random.random())
         self._reconnect_at = now + limits.reconnect_ms * (0.5 + random.random())
         if self.n > 1:
-            self._spread_claim(self.own)
+            self._claims.add(self.own)
 
     # -- what drives it ---------------------------------------------------------------------------
 
@@ -186,7 +156,7 @@
             self._probe_at = now + limits.period_ms * self.health.factor
         if self._gossip_at <= now:
             self._gossip_at = now + limits.gossip_ms
-            if self._spread or self.news.waiting:
+            if self._claims or self.news.waiting:
                 for member in self._some(limits.gossip_to, self._present()):
                     self._send(Kind.GOSSIP, member, now)
         if self._reconnect_at <= now:
@@ -238,7 +208,7 @@
         if self.left or self.n < 2:
             return
         self.members[self.own].status = Status.LEFT
-        self._spread_claim(self.own)
+        self._claims.add(self.own)
         for member in self._some(2 * self.limits.helpers, self._present()):
             self._send(Kind.GOSSIP, member, now)
         self.left = True
@@ -478,7 +448,7 @@
         self.counts["refuted"] += 1
         if c.status in (Status.SUSPECT, Status.FAILED):
             self.health.worse()
-        self._spread_claim(self.own)
+        self._claims.add(self.own)
 
     def _suspect(self, member: int, accuser: int, now: float, cause: str) -> None:
         """Begins a suspicion, or adds an accuser to one."""
@@ -498,7 +468,7 @@
                 self._suspect(member, self.own, now, "no answer to a probe for another")
         elif suspicion.confirm(accuser):
             self.members[member].accuser = accuser
-            self._spread_claim(member)
+            self._claims.add(member)
 
     def _indiscriminate(self, accuser: int, alive: int) -> bool:
         """Guards against a sick or lying member: who alone accuses a quarter of all is at fault itself."""
@@ -516,11 +486,11 @@
         if m.status is status and status is Status.ALIVE:
             if cause == "restarted":
                 self._changes.append(Change(now, member, m.status, status, life, inc, cause))
-            self._spread_claim(member)
+            self._claims.add(member)
             return
         self._set(member, status, now, cause, accuser)
         if new and now - self.started_at < self.limits.settle_ms:
-            self._spread[member] = START_SENDS  # when all start at once, all are news to all
+            self._claims.add(member, START_SENDS)  # when all start at once, all are news to all
 
     def _set(self, member: int, status: Status, now: float, cause: str, accuser: int = NOBODY) -> None:
         """The one place where a member's status changes."""
@@ -529,7 +499,7 @@
         if status is not Status.SUSPECT:
             self._suspicions.pop(member, None)
         self._changes.append(Change(now, member, before, status, m.life, m.inc, cause))
-        self._spread_claim(member)
+        self._claims.add(member)
 
     def _future(self, life: int, now: float) -> bool:
         return life > life_of(now + self._unix_offset + self.limits.skew_ms)
@@ -539,18 +509,11 @@
 
     # -- spreading --------------------------------------------------------------------------------
 
-    def _sends(self) -> int:
-        """How often one member sends one claim: enough to reach all with high probability (SWIM, 4.1)."""
-        return math.ceil(self.limits.transmissions * math.log10(self.n + 1))
-
-    def _spread_claim(self, member: int) -> None:
-        self._spread[member] = self._sends()
-
     def _claim(self, member: int) -> Claim:
         m = self.members[member]
         return Claim(member, self.universe.prints[member], m.status, m.life, m.inc, m.accuser)
 
-    def _claims(self, room: int, to: int, first: Iterable[int]) -> tuple[Claim, ...]:
+    def _claims_for(self, room: int, to: int, first: Iterable[int]) -> tuple[Claim, ...]:
         """The claims for one datagram: what the receiver must hear, then what was sent least often.
 
         What is said of the receiver itself comes always, since it alone can refute.
@@ -558,15 +521,9 @@
         chosen = list(first)
         if self.members[to].status in (Status.SUSPECT, *QUIET_STATUS) and to not in chosen:
             chosen.append(to)
-        chosen = chosen[: room // CLAIM_BYTES]
-        places = room // CLAIM_BYTES - len(chosen)
-        for member in heapq.nlargest(places, self._spread, key=self._spread.__getitem__):
-            if member in chosen:
-                continue
-            chosen.append(member)
-            self._spread[member] -= 1
-            if self._spread[member] <= 0:
-                del self._spread[member]
+        most = room // CLAIM_BYTES
+        chosen = chosen[:most]
+        chosen += self._claims.take(most - len(chosen), chosen)
         return tuple(self._claim(m) for m in chosen)
 
     def _send(
@@ -579,7 +536,7 @@
             claims, facts = tuple(self._claim(m) for m in first), tuple[Fact, ...]()
         else:
             facts = self.news.take(room // 2 // FACT_BYTES, now)
-            claims = self._claims(room - FACT_BYTES * len(facts), to, first)
+            claims = self._claims_for(room - FACT_BYTES * len(facts), to, first)
         d = Datagram(
             kind, self.own, self.universe.digest, self.life, self.inc, number, target, pieces, claims, facts
         )
@@ -590,18 +547,6 @@
 
     # -- anti-entropy -----------------------------------------------------------------------------
 
-    def _members_of(self, piece: int) -> range:
-        return range(piece * PIECE, min((piece + 1) * PIECE, self.n))
-
-    def _digest(self, piece: int) -> int:
-        """A digest of what is held of a piece. Suspicions pass too quickly to count as a difference."""
-        parts = []
-        for n in self._members_of(piece):
-            m = self.members[n]
-            status = Status.ALIVE if m.status is Status.SUSPECT else m.status
-            parts.append(b"%d,%d,%d,%d;" % (self.universe.prints[n], status, m.life, m.inc))
-        return crc32(b"".join(parts))
-
     def _sync(self, now: float) -> None:
         """Sends digests to one member; it answers with the claims of pieces that differ.
 
@@ -612,10 +557,10 @@
         # One that was heard lately will answer; only without any does the choice fall on all.
         heard = [m for m in self._present() if now - self.members[m].heard_at <= self.limits.silence_ms]
         known = heard or self._present() or [m for m in range(self.n) if m != self.own]
-        total = math.ceil(self.n / PIECE)
+        total = len(self._pieces)
         at = self._random.randrange(total)
         chosen = sorted({(at + k) % total for k in range(min(PIECES_ASKED, total))})
-        pieces = tuple((piece, self._digest(piece)) for piece in chosen)
+        pieces = tuple((piece, self._pieces.digest(piece)) for piece in chosen)
         for member in self._some(1, known):
             self.counts["syncs"] += 1
             self._send(Kind.SYNC, member, now, pieces=pieces)
@@ -625,13 +570,12 @@
         self._sync_at = min(self._sync_at, now + FIRST_SYNC_MS * (0.5 + self._random.random()))
 
     def _answer_sync(self, d: Datagram, sender: int, now: float) -> None:
-        total = math.ceil(self.n / PIECE)
-        differ = [p for p, digest in d.pieces if p < total and digest != self._digest(p)]
+        differ = self._pieces.differing(d.pieces)
         for piece in self._random.sample(differ, min(PIECES_SENT, len(differ))):
             self._send_piece(piece, sender, now, answer=True)
 
     def _send_piece(self, piece: int, to: int, now: float, answer: bool) -> None:
-        known = tuple(n for n in self._members_of(piece) if self.members[n].status is not Status.UNKNOWN)
+        known = self._pieces.known(piece)
         self.counts["pieces"] += 1
         self._send(Kind.PIECE, to, now, number=piece, target=int(answer), first=known, alone=True)
 
@@ -641,14 +585,9 @@
         A piece came because something differed: the next exchange follows soon.
         """
         self._sync_soon(now)
-        if d.target != 1 or d.number >= math.ceil(self.n / PIECE):
+        if d.target != 1 or d.number >= len(self._pieces):
             return
-        told = {c.member: (c.version, c.status) for c in d.claims}
-        held = [(n, self.members[n]) for n in self._members_of(d.number)]
-        if any(
-            m.status is not Status.UNKNOWN and (m.version, m.status) > told.get(n, ((0, 0), Status.UNKNOWN))
-            for n, m in held
-        ):
+        if self._pieces.newer_than(d.claims, d.number):
             self._send_piece(d.number, sender, now, answer=False)
 
     # -- helpers ----------------------------------------------------------------------------------
--- a/starlinghaven/health/model.py
+++ b/starlinghaven/health/model.py
@@ -1,6 +1,6 @@
 """What an edge proxy tells balancers about itself: a state machine that does no I/O.
 
-The program measures `Facts` (see `starlinghaven.program.health`) and passes them to `Health.step`
+The program measures `Facts` (see `starlinghaven.program.operations.health`) and passes them to `Health.step`
 with the time; the machine answers a `Verdict`: one of the `State`s, the weight in percent and the
 cause of the last change. It reads no clock and no socket, so every transition is tested by feeding
 facts alone.
--- a/starlinghaven/lab/baselines.py
+++ b/starlinghaven/lab/baselines.py
@@ -7,7 +7,7 @@
 from random import Random
 
 from starlinghaven.fleet.codec import EMPTY_BYTES, Status
-from starlinghaven.fleet.swim import Change, Member
+from starlinghaven.fleet.members import Change, Member
 from starlinghaven.fleet.universe import Address, Universe
 
 BEAT_MS = 1_000.0  # between two heartbeats to everybody
--- a/starlinghaven/lab/simulate.py
+++ b/starlinghaven/lab/simulate.py
@@ -12,8 +12,9 @@
 from random import Random
 from typing import Any, Protocol
 
+from starlinghaven.fleet.members import Change
 from starlinghaven.fleet.settings import Limits
-from starlinghaven.fleet.swim import Change, Membership
+from starlinghaven.fleet.swim import Membership
 from starlinghaven.fleet.universe import Address, Universe
 from starlinghaven.lab.timeline import Timeline
 
--- a/starlinghaven/lab/soak/variants.py
+++ b/starlinghaven/lab/soak/variants.py
@@ -99,14 +99,14 @@
     ),
     "forgets-exclusions": Variant(
         """
-        from starlinghaven.program.handover import Handover
+        from starlinghaven.program.operations.handover import Handover
         Handover.keep = lambda *_: True
         """,
         "exclusions_kept",
     ),
     "answers-twice": Variant(
         """
-        from starlinghaven.program.platform import Client
+        from starlinghaven.program.fronts.platform import Client
         say = Client._say
         Client._say = lambda *told: (say(*told), say(*told))
         """,
@@ -115,7 +115,7 @@
     "forgets-answers": Variant(
         """
         import random
-        from starlinghaven.program.platform import Client
+        from starlinghaven.program.fronts.platform import Client
         say = Client._say
         Client._say = lambda *told: random.random() < 0.02 or say(*told)
         """,
@@ -140,7 +140,7 @@
     ),
     "goes-on-for-clients-gone": Variant(
         """
-        from starlinghaven.program.platform import Client, _Ticket
+        from starlinghaven.program.fronts.platform import Client, _Ticket
         async def withdraw(client, tag):
             client.open.pop(tag, None)
         Client.withdraw = withdraw
@@ -184,7 +184,7 @@
     "keeps-descriptors": Variant(
         """
         import os
-        from starlinghaven.program.platform import Client
+        from starlinghaven.program.fronts.platform import Client
         call = Client._call
         def keep(client, told):
             for _ in range(4):
@@ -196,7 +196,7 @@
     ),
     "keeps-memory": Variant(
         """
-        from starlinghaven.program.platform import Client
+        from starlinghaven.program.fronts.platform import Client
         call, kept = Client._call, []
         Client._call = lambda client, told: (kept.append(b"x" * 2**19), call(client, told))
         """,
@@ -225,7 +225,7 @@
     ),
     "writes-in-place": Variant(
         """
-        from starlinghaven.program.handover import Handover
+        from starlinghaven.program.operations.handover import Handover
         def write(handover, name, text):
             try:
                 with open(handover._path(name), "w") as file:
--- a/starlinghaven/plugin/grpc_client.py
+++ b/starlinghaven/plugin/grpc_client.py
@@ -29,7 +29,7 @@
 
 if TYPE_CHECKING:
     from starlinghaven.health.model import Thresholds
-    from starlinghaven.program.health import HealthService
+    from starlinghaven.program.operations.health import HealthService
 
 log = logging.getLogger(__name__)
 
@@ -114,7 +114,7 @@
             self._token, self._stop = trio.lowlevel.current_trio_token(), trio.Event()
             await self._core.start(nursery)
             if self._limits is not None:
-                from starlinghaven.program.health import HealthService
+                from starlinghaven.program.operations.health import HealthService
 
                 self.health = HealthService(self._core.engine, self._core.log, self._limits)
                 nursery.start_soon(self.health.run)
--- a/starlinghaven/program/daemon.py
+++ b/starlinghaven/program/daemon.py
@@ -14,22 +14,24 @@
 
 import trio
 
-from starlinghaven.program import config, logs, operator, relay
-from starlinghaven.program.clients import Clients, CloseReason
-from starlinghaven.program.console import PLACES, Console
+from starlinghaven.program import config, logs
 from starlinghaven.program.core import Core
-from starlinghaven.program.handover import Handover
-from starlinghaven.program.platform import PlatformFront
+from starlinghaven.program.fronts import relay
+from starlinghaven.program.fronts.clients import Clients, CloseReason
+from starlinghaven.program.fronts.platform import PlatformFront
+from starlinghaven.program.operations import operator
+from starlinghaven.program.operations.console import PLACES, Console
+from starlinghaven.program.operations.handover import Handover
 from starlinghaven.program.signals import held
 from starlinghaven.protocol import platform
 from starlinghaven.transport.listener import LINGERING, Listener
 
 if TYPE_CHECKING:  # HTTP and tokens load only where they are switched on: a restart must be short
-    from starlinghaven.program.admission import AdmissionGate
     from starlinghaven.program.fleet import Fleet
-    from starlinghaven.program.health import HealthService
-    from starlinghaven.program.http import Handle, HttpServer
-    from starlinghaven.program.signed import SignedFront
+    from starlinghaven.program.fronts.admission import AdmissionGate
+    from starlinghaven.program.fronts.http import Handle, HttpServer
+    from starlinghaven.program.fronts.signed import SignedFront
+    from starlinghaven.program.operations.health import HealthService
 
 log = logging.getLogger("starlinghaven")
 
@@ -53,7 +55,7 @@
         self.gate: AdmissionGate | None = None
         if options.admission:
             from starlinghaven.admission import settings as admitting
-            from starlinghaven.program.admission import AdmissionGate
+            from starlinghaven.program.fronts.admission import AdmissionGate
 
             self.gate = AdmissionGate(admitting.load(options.admission), clients, core.counters)
         self._listeners = [Listener(cfg.listen, core.memory, clients, cfg.passed, gate=self.gate)]
@@ -69,13 +71,13 @@
         if options.health or options.agent:
             from starlinghaven.health import settings
             from starlinghaven.health.model import Thresholds
-            from starlinghaven.program.health import HealthService
+            from starlinghaven.program.operations.health import HealthService
 
             limits = settings.load(options.rules) if options.rules else Thresholds()
             self.health = HealthService(core.engine, core.log, limits, self._places)
         self._agent: Listener | None = None
         if options.signed:
-            from starlinghaven.program.signed import SignedFront
+            from starlinghaven.program.fronts.signed import SignedFront
 
             self.signed = SignedFront(
                 options.signed, core.engine, cfg.settings, cfg.classes, core.counters, _new_id
@@ -127,7 +129,7 @@
         return Listener(address, self.core.memory, most, shared=self.core.cfg.passed is not None)
 
     def _serve_http(self, listen: str, most: int, handle: Handle) -> None:
-        from starlinghaven.program.http import HttpServer
+        from starlinghaven.program.fronts.http import HttpServer
 
         self._listeners.append(self._listener(listen, most))
         self.servers.append(HttpServer(self._listeners[-1], handle, self.counters))
--- a/starlinghaven/program/fleet.py
+++ b/starlinghaven/program/fleet.py
@@ -17,10 +17,11 @@
 
 from starlinghaven.datagrams import MOST_BYTES
 from starlinghaven.fleet.codec import Status
+from starlinghaven.fleet.members import Change
 from starlinghaven.fleet.news import FactKind
 from starlinghaven.fleet.settings import Limits
 from starlinghaven.fleet.stance import Stance, Standing
-from starlinghaven.fleet.swim import Change, Membership
+from starlinghaven.fleet.swim import Membership
 from starlinghaven.fleet.universe import Universe
 from starlinghaven.program.config import Config
 from starlinghaven.routing.engine import Engine
--- a/starlinghaven/program/http.py
+++ b/starlinghaven/program/fronts/http.py
@@ -11,7 +11,7 @@
 
 import h11
 
-from starlinghaven.program.clients import Clients
+from starlinghaven.program.fronts.clients import Clients
 from starlinghaven.routing.types import Counters
 from starlinghaven.transport.connection import Connection
 from starlinghaven.transport.listener import Listener
--- a/starlinghaven/program/platform.py
+++ b/starlinghaven/program/fronts/platform.py
@@ -12,7 +12,7 @@
 import trio
 
 from starlinghaven import interface as i
-from starlinghaven.program.clients import Clients, CloseReason
+from starlinghaven.program.fronts.clients import Clients, CloseReason
 from starlinghaven.protocol import ProtocolError, handover, platform
 from starlinghaven.routing.engine import Engine
 from starlinghaven.routing.types import Answer, Ask, Counters, Left, Result, Taken
--- a/starlinghaven/program/relay.py
+++ b/starlinghaven/program/fronts/relay.py
@@ -9,7 +9,7 @@
 
 import trio
 
-from starlinghaven.program.platform import Client, PlatformFront
+from starlinghaven.program.fronts.platform import Client, PlatformFront
 from starlinghaven.protocol import ProtocolError, handover
 from starlinghaven.transport.channel import Channel
 from starlinghaven.transport.connection import Remains
--- a/starlinghaven/program/signed.py
+++ b/starlinghaven/program/fronts/signed.py
@@ -11,8 +11,8 @@
 from urllib.parse import urlsplit
 
 from starlinghaven import interface as i
-from starlinghaven.program.http import Exchange, HttpResponse
-from starlinghaven.program.operator import Route, Signed
+from starlinghaven.program.fronts.http import Exchange, HttpResponse
+from starlinghaven.program.operations.operator import Route, Signed
 from starlinghaven.protocol import uri_signing
 from starlinghaven.routing.engine import Engine
 from starlinghaven.routing.types import Answer, Ask, Counters, Left, Result, Taken
--- a/starlinghaven/program/console.py
+++ b/starlinghaven/program/operations/console.py
@@ -10,8 +10,8 @@
 
 import trio
 
-from starlinghaven.program.clients import Clients
-from starlinghaven.program.handover import Handover
+from starlinghaven.program.fronts.clients import Clients
+from starlinghaven.program.operations.handover import Handover
 from starlinghaven.protocol import ProtocolError, console
 from starlinghaven.routing.engine import Engine
 from starlinghaven.routing.types import Counters, Hand
--- a/starlinghaven/program/health.py
+++ b/starlinghaven/program/operations/health.py
@@ -28,7 +28,7 @@
 
 if TYPE_CHECKING:
     from starlinghaven.program.changelog import ChangeLog
-    from starlinghaven.program.http import Exchange
+    from starlinghaven.program.fronts.http import Exchange
     from starlinghaven.routing.engine import Engine
 
 TICK_S = 0.05  # seconds between readings: a balancer polling every 100 ms sees a change within one poll
@@ -144,7 +144,7 @@
 
     async def http(self, exchange: Exchange) -> None:
         """GET or HEAD of /livez, /readyz (also /healthz, /health, /): see `wire.http_answer`."""
-        from starlinghaven.program.http import HttpResponse
+        from starlinghaven.program.fronts.http import HttpResponse
 
         if exchange.request.method not in ("GET", "HEAD"):
             exchange.respond(HttpResponse(405, headers=[("allow", "GET, HEAD")]))
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from starlinghaven.program.signed import response
+from starlinghaven.program.fronts.signed import response
 from starlinghaven.routing.types import Answer, Result
 
 
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -15,7 +15,7 @@
 from starlinghaven.program import config
 from starlinghaven.program.core import PROCESS
 from starlinghaven.program.daemon import Daemon
-from starlinghaven.program.operator import Operator
+from starlinghaven.program.operations.operator import Operator
 from tests.loopback import ROOT, STORES, Archive, configuration
 
 
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -20,8 +20,8 @@
 import trio.testing
 
 from starlinghaven import interface as i
-from starlinghaven.program import clients as clients_module
-from starlinghaven.program.clients import ClientLink, Clients, CloseReason
+from starlinghaven.program.fronts import clients as clients_module
+from starlinghaven.program.fronts.clients import ClientLink, Clients, CloseReason
 from starlinghaven.protocol.resp import encode
 from starlinghaven.routing.engine import Engine
 from starlinghaven.routing.types import Ask, Ended, FleetNews, Taken
--- a/tests/test_fleet_judgement.py
+++ b/tests/test_fleet_judgement.py
@@ -10,10 +10,11 @@
 
 from starlinghaven.fleet import news as news_module
 from starlinghaven.fleet.codec import AGE_UNIT_MS, Fact, Status
+from starlinghaven.fleet.members import Member
 from starlinghaven.fleet.news import MOST_FACTS, MOST_OF_ONE, FactKind, News
 from starlinghaven.fleet.settings import Limits
 from starlinghaven.fleet.stance import Stance, Standing
-from starlinghaven.fleet.swim import Member, Membership
+from starlinghaven.fleet.swim import Membership
 from starlinghaven.lab.simulate import Network, membership
 
 LIMITS = Limits()
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -42,7 +42,7 @@
 def test_each_layer_imports_only_what_stands_below_it() -> None:
     seen = 0
     for layer, allowed in ALLOWED.items():
-        for path in (ROOT / layer).glob("*.py"):
+        for path in (ROOT / layer).rglob("*.py"):
             assert imported(path) <= allowed, path
             seen += 1
     assert seen >= 25
@@ -51,5 +51,5 @@
 
 
 def test_the_engine_knows_no_wire() -> None:
-    for path in (ROOT / "routing").glob("*.py"):
+    for path in (ROOT / "routing").rglob("*.py"):
         assert not imported(path) & {"protocol", "transport", "program"}, path
--- a/tests/test_models.py
+++ b/tests/test_models.py
@@ -10,7 +10,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
 from starlinghaven import interface as i
-from starlinghaven.program.platform import MOST_BAD, Client, PlatformFront
+from starlinghaven.program.fronts.platform import MOST_BAD, Client, PlatformFront
 from starlinghaven.protocol.resp import encode
 from starlinghaven.routing.types import (
     Answer,
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -20,7 +20,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from starlinghaven.program.handover import Handover
+from starlinghaven.program.operations.handover import Handover
 from starlinghaven.protocol import ProtocolError, console, handover
 from starlinghaven.protocol.resp import encode
 from starlinghaven.routing.engine import Engine
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -10,7 +10,8 @@
 import pytest
 from cryptography.hazmat.primitives.asymmetric import ec
 
-from starlinghaven.program import issue, logs, operator
+from starlinghaven.program import issue, logs
+from starlinghaven.program.operations import operator
 from tests.loopback import ROOT
 
 LEAST = """
