Try again for dials and for a start's sockets by one loop

`Pool._connect` and `sockets.obtained` were two loops of the same rule: what fails for a reason of this machine is tried again after a pause, what tells of the peer is not.

--- a/starlinghaven/transport/pool.py
+++ b/starlinghaven/transport/pool.py
@@ -5,11 +5,12 @@
 import logging
 import socket
 from collections.abc import Callable, Container
+from functools import partial
 from typing import Generic, TypeVar
 
 import trio
 
-from starlinghaven.transport import errors
+from starlinghaven.transport import sockets
 from starlinghaven.transport.connection import Connection
 from starlinghaven.transport.listener import split_address
 from starlinghaven.transport.ring import Memory, NoMemory
@@ -24,8 +25,7 @@
 SWEEP_S = 0.1  # seconds between two looks for connections that stopped in the middle of an answer
 SHARED = 4  # requests on a connection from which another one is dialed: a spoilt answer ends them all
 STUCK_S = 0.3  # seconds without a byte in the middle of an answer, after which nothing more is awaited
-DIAL_RETRIES = 3  # of a dial that failed for a reason of this machine
-DIAL_RETRY_S = 0.01  # seconds before the first of them, doubled each time
+DIAL_PAUSES_S = (0.01, 0.02, 0.04)  # between the tries of a dial that failed for a reason of this machine
 MOST_UNSENT_S = 0.1  # that a part of a request may wait to be sent: its time limit counts on
 WHOLE_S = 10.0  # seconds that one answer may take to come in, where nobody says how long clients wait
 
@@ -206,17 +206,7 @@
 
     async def _connect(self, place: Place) -> L:
         """A new connection. What fails for a reason of this machine is tried again a few times."""
-        retry_s = DIAL_RETRY_S
-        for _ in range(DIAL_RETRIES):
-            try:
-                return await self._connect_once(place)
-            except OSError as error:
-                if errors.concerns_peer(error):
-                    raise
-                log.info("dial of %s tried again: %s", place[1], error)
-            await trio.sleep(retry_s)
-            retry_s *= 2
-        return await self._connect_once(place)
+        return await sockets.retried(partial(self._connect_once, place), DIAL_PAUSES_S, f"dial of {place[1]}")
 
     async def _connect_once(self, place: Place) -> L:
         sock = trio.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
--- a/starlinghaven/transport/sockets.py
+++ b/starlinghaven/transport/sockets.py
@@ -1,9 +1,9 @@
-"""New sockets, where the system may have none to give for a moment."""
+"""Sockets and connections, where the system may have none to give for a moment."""
 
 from __future__ import annotations
 
 import logging
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable, Iterable
 from typing import TypeVar
 
 import trio
@@ -12,20 +12,31 @@
 
 log = logging.getLogger(__name__)
 
-TRIES = 40
-PAUSE_S = 0.05  # between two tries; all together stay far below what a start may take
+START_PAUSES_S = (0.05,) * 39  # between the tries of a start: all together far below what it may take
 
 T = TypeVar("T")
 
 
-async def obtained(make: Callable[[], T], purpose: str) -> T:
-    """What `make` returns, tried again while it fails for a reason that may pass. Errors: OSError."""
-    for left in reversed(range(TRIES)):
+async def retried(attempt: Callable[[], Awaitable[T]], pauses_s: Iterable[float], purpose: str) -> T:
+    """What `attempt` returns, tried again after each pause while it fails for a reason that may pass.
+
+    Errors: OSError, at once where it tells of the peer, else after the last pause.
+    """
+    for pause_s in pauses_s:
         try:
-            return make()
+            return await attempt()
         except OSError as error:
-            if not left or errors.concerns_peer(error):
+            if errors.concerns_peer(error):
                 raise
-            log.warning("no socket for %s, tried again: %s", purpose, error)
-        await trio.sleep(PAUSE_S)
-    raise AssertionError("the last try returns or raises")
+            log.warning("%s is tried again: %s", purpose, error)
+        await trio.sleep(pause_s)
+    return await attempt()
+
+
+async def obtained(make: Callable[[], T], purpose: str) -> T:
+    """A socket that a start needs. Errors: OSError, where it lasts."""
+
+    async def attempt() -> T:
+        return make()
+
+    return await retried(attempt, START_PAUSES_S, purpose)
