Decide an attempt anew if the process stood still right before its write

Cause: the request was read at 4.814 s and the process stopped at 4.815 s, for 8 s, between the look at the clock and the write of the attempt. The DROP followed within 2 ms, but the attempt had begun.

Evidence: the history (order at 12.817 s, process resumed at 12.816 s, DROP at 12.818 s); test_a_stop_of_the_process_right_before_a_request_is_written_has_it_ decided_anew stops the clock there and failed before.

Mend: the last look at the clock is right before the write, and more than 50 ms after the decision the attempt ends as never begun: by the time the Router decides anew, cancels that came during the stop are read. Some microseconds are left in which a stop can fall; no process can close those.

--- a/starlinghaven/program/caches.py
+++ b/starlinghaven/program/caches.py
@@ -20,6 +20,8 @@
 
 SILENT_S = 1.0  # seconds without a word, with which a connection ends when an attempt is dropped
 
+DECISION_STANDS_MS = 50.0  # between a decision and its write; after longer the process stood still
+
 CODES = {
     "served": i.Code.OK,
     "still_good": i.Code.OK,
@@ -163,7 +165,7 @@
     def send(self, attempt: Attempt) -> None:
         link = self.pool.ready((attempt.store, attempt.address), self._met(attempt))
         if link:
-            self._write(link, attempt)
+            self._write(link, attempt, attempt.sent_ms)
             return
         assert self._nursery is not None
         scope = self._where[attempt] = trio.CancelScope()
@@ -185,8 +187,9 @@
                 link = await self.pool.link((attempt.store, attempt.address), self._met(attempt))
                 if self._where.get(attempt) is not scope:
                     return  # dropped when the connection was up already, before this task went on
+                decided_ms = self._engine.clock.now()
                 if self._engine.may_begin(attempt):
-                    self._write(link, attempt)
+                    self._write(link, attempt, decided_ms)
                     return
                 code = i.Code.MOOT
             except DialFailed as error:
@@ -195,7 +198,23 @@
             if self._where.pop(attempt, None) is scope:
                 await self._engine.post(Ended(attempt, code))
 
-    def _write(self, link: CacheLink, a: Attempt) -> None:
+    def _write(self, link: CacheLink, a: Attempt, decided_ms: float) -> None:
+        """Writes an attempt that may begin as of `decided_ms`.
+
+        If the process stood still since then, its client may have left and its time is shorter: the last
+        look at the clock is right before the write, and what comes too late for it is decided anew.
+        """
+        text = self._text(a)
+        if self._engine.clock.now() - decided_ms > DECISION_STANDS_MS:
+            assert self._nursery is not None
+            self._counters.add("not_begun_stall")
+            self._where.pop(a, None)
+            self._nursery.start_soon(self._engine.post, Ended(a, i.Code.MOOT))
+            return
+        self._counters.add("written")
+        link.carry(a, text)
+
+    def _text(self, a: Attempt) -> bytes:
         ask = a.ask
         waited_ms = self._engine.clock.now() - a.sent_ms  # for its dial
         order = caches.Order(
@@ -213,8 +232,7 @@
             have=ask.have,
             body=ask.body,
         )
-        self._counters.add("written")
-        link.carry(a, caches.get(order))
+        return caches.get(order)
 
     def drop(self, attempt: Attempt) -> None:
         where = self._where.pop(attempt, None)
--- a/tests/steps.py
+++ b/tests/steps.py
@@ -108,7 +108,8 @@
     """An engine's queue that only keeps what is posted."""
 
     def __init__(self) -> None:
-        self.clock, self.events, self.counters = Time().clock(), list[Event](), Counters()
+        self.time = Time()
+        self.clock, self.events, self.counters = self.time.clock(), list[Event](), Counters()
         self.begins = True
 
     def may_begin(self, attempt: Attempt) -> bool:
--- a/tests/test_cache_side.py
+++ b/tests/test_cache_side.py
@@ -15,6 +15,7 @@
 from starlinghaven import interface as i
 from starlinghaven.program import caches as module
 from starlinghaven.program.caches import CacheLink, Caches
+from starlinghaven.protocol import caches
 from starlinghaven.protocol.resp import encode
 from starlinghaven.routing.engine import Engine
 from starlinghaven.routing.types import Ask, Attempt, Counters, Ended
@@ -27,7 +28,7 @@
 
 def attempt(number: int = 0) -> Attempt:
     ask = Ask(id="00aa", cls=0, taken_ms=0.0, patience_ms=900.0, key="k")
-    return Attempt(ask, 1, number, "s-1", "127.0.0.1:1", 800.0, 0.0)
+    return Attempt(ask, 1, number, "s-1", "127.0.0.1:1", 800.0, Time().clock().now())
 
 
 def link(posts: Posts) -> tuple[CacheLink, Wire, dict[Any, Any]]:
@@ -238,3 +239,25 @@
         cache_side.send(one)
         await until(lambda: wire.written)
         assert b"w=400" in wire.written[0], "of 800 ms"
+
+
+@in_trio
+async def test_a_stop_of_the_process_right_before_a_request_is_written_has_it_decided_anew(
+    tmp_path: Path,
+) -> None:
+    async with side() as (cache_side, posts):
+        up, wire, _ = link(posts)
+        setattr(cache_side.pool, "ready", lambda *_: up)  # noqa: B010
+        with pytest.MonkeyPatch.context() as patch:
+
+            def stopped(order: caches.Order) -> bytes:
+                posts.time.s += 8.0
+                return b"GET"
+
+            patch.setattr(caches, "get", stopped)
+            cache_side.send(one := attempt())
+            await until(lambda: posts.events)
+        assert wire.written == [] and not one.written
+        assert posts.events == [Ended(one, i.Code.MOOT)]
+        cache_side.send(other := replace(attempt(), sent_ms=posts.clock.now()))
+        assert len(wire.written) == 1 and other.written
