Follow the start of one process in the soak, also when it ends and another follows

It had been killed in the middle of a write at its start, and the next one was up at once; the stage went on looking for `ready` in the log of the first.

--- a/starlinghaven/lab/soak/stage.py
+++ b/starlinghaven/lab/soak/stage.py
@@ -296,7 +296,7 @@
         log_path = self.out / "logs" / f"n{proxy.number}.{proxy.life}.log"
         started = trio.current_time()
         with log_path.open("w") as sink:
-            proxy.process = await trio.lowlevel.open_process(
+            process = proxy.process = await trio.lowlevel.open_process(
                 self._start_command(proxy),
                 cwd=self._program,
                 env=self._environment(proxy, path),
@@ -304,10 +304,10 @@
                 stdin=subprocess.DEVNULL,
             )
         proxy.expected_to_end = False
-        with trio.move_on_after(READY_S):
-            while proxy.up and " ready " not in log_path.read_text():
+        with trio.move_on_after(READY_S):  # of this process: it may end, and be followed by another
+            while process.returncode is None and " ready " not in log_path.read_text():
                 await trio.sleep(0.02)
-        if proxy.up and " ready " not in log_path.read_text():
+        if process.returncode is None and " ready " not in log_path.read_text():
             self.history.add("slow-start", proxy=proxy.number, s=READY_S)
         took_s = trio.current_time() - started
         self.history.add("start", proxy=proxy.number, life=proxy.life, known=known, s=round(took_s, 2))
