Take nothing for old where the system does not say how much waits

Without TCP_INFO or FIONREAD the age of what is taken was that of the last empty queue, which may be long ago for one that never runs empty. Where a length is not known, the samples are dropped: ages are by the event loop's last look, as before there were samples. test_where_the_system_does_not_say_how_much_waits_nothing_is_ taken_for_old has both calls say nothing.

--- a/starlinghaven/transport/connection.py
+++ b/starlinghaven/transport/connection.py
@@ -270,7 +270,8 @@
             self.heard_at = trio.current_time()
             if awaited:  # nothing was there until the event loop looked for the last time before this
                 self._input_age.sample(0, time.monotonic() - arrivals.unread_for_s())
-            self._read_came_after = self._input_age.take(got)
+            came_after = self._input_age.take(got)
+            self._read_came_after = came_after if came_after > -math.inf else math.inf
             self._in.filled(got)
             if self._ending:
                 self._in.skip(self._in.size)  # it crossed the close: nothing more is taken
@@ -286,7 +287,10 @@
         if not self._events() & select.POLLIN:
             self._input_age.sample(0, time.monotonic())
             return True
-        if length := unread_bytes(self._sock.fileno()):
+        length = unread_bytes(self._sock.fileno())
+        if length is None:
+            self._input_age = QueueAge()
+        elif length:
             room = self._sock.getsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF)
             self._input_age.sample(length, time.monotonic(), full=length >= room * FULL_SHARE)
         return False
--- a/starlinghaven/transport/listener.py
+++ b/starlinghaven/transport/listener.py
@@ -230,7 +230,10 @@
             self._queue_empty_at = now
             self._queue.sample(0, now)
             return True
-        if length := waiting_connections(self._plain):
+        length = waiting_connections(self._plain)
+        if length is None:
+            self._queue = QueueAge()  # what is not known bounds nothing
+        elif length:
             self._queue.sample(length, now)
         return False
 
--- a/tests/test_arrivals.py
+++ b/tests/test_arrivals.py
@@ -11,10 +11,13 @@
 from functools import partial
 from pathlib import Path
 
+import pytest
 import trio
 
 from starlinghaven.standins.platform import STORES, Archive
 from starlinghaven.transport import arrivals
+from starlinghaven.transport import connection as connection_module
+from starlinghaven.transport import listener as listener_module
 from starlinghaven.transport.arrivals import ArrivalWatch
 from starlinghaven.transport.connection import HIGH_WATER, Connection
 from starlinghaven.transport.listener import Listener
@@ -238,3 +241,23 @@
         await stream.send_all(b"three")
         await until(lambda: len(ages) == 3)
     assert ages[0] < 0.1 and ages[1] >= 0.4 and ages[2] < 0.1
+
+
+@in_trio
+async def test_where_the_system_does_not_say_how_much_waits_nothing_is_taken_for_old(tmp_path: Path) -> None:
+    ages: list[float] = []
+
+    async def feed(connection: Connection, ring: Ring) -> int:
+        ages.append(connection.unread_for_s())
+        ring.skip(ring.size)
+        await trio.sleep(0.2)
+        return 1
+
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(connection_module, "unread_bytes", lambda _: None)
+        patch.setattr(listener_module, "waiting_connections", lambda _: None)
+        async with served(feed) as stream:
+            for n in range(4):
+                await stream.send_all(b"x")
+                await until(lambda n=n: len(ages) == n + 1)  # type: ignore[misc]
+    assert max(ages) < 0.1
