Keep each connection of an upgrade with one owner, and move its memory with it

Cause: the older process let a connection go before the newer one had it. Connections travelled in frames as large as what they hold; the newer process, full of answers for its own slow readers, had no memory for them, took that for the end of the other process, and dropped all.

The fix is for the failure mode. A connection is offered, accepted, sent in pieces and taken (protocol/handover.py); until it is taken it is the older process's, and what is refused, or not answered, stays and is served on. The memory that its rings hold is ceded by one limit and borrowed by the other. It needs no further descriptor. Answers that come meanwhile are held; tags that an even older process answers are handed on; the age of unread input goes with it. A process that ends waits while clients read its last answers. Frames of the release before are still read.

Moved while at it: relay.py into giver.py and taker.py, the age of input out of connection.py.

--- a/starlinghaven/program/core.py
+++ b/starlinghaven/program/core.py
@@ -31,7 +31,8 @@
         self.counters = Counters()
         # Guards the limits in an upgrade: for a while two processes share what is allowed to one.
         processes = 2 if cfg.passed is not None else 1
-        self.memory = Memory(int(cfg.memory_bytes * RINGS / processes))
+        rings = int(cfg.memory_bytes * RINGS)
+        self.memory = Memory(rings // processes, most=rings)
         clock, copies = Clock(), None
         if cfg.flow > 0 and cfg.link > 0:  # else the platform allows no copies of its own
             spare = max(cfg.memory_bytes / processes - PROCESS, 0) / 2
--- a/starlinghaven/program/daemon.py
+++ b/starlinghaven/program/daemon.py
@@ -17,9 +17,10 @@
 from starlinghaven.containment import contained
 from starlinghaven.program import config, logs
 from starlinghaven.program.core import Core
-from starlinghaven.program.fronts import relay
-from starlinghaven.program.fronts.clients import Clients, CloseReason
+from starlinghaven.program.fronts.clients import ClientLink, Clients, CloseReason
+from starlinghaven.program.fronts.giver import Giver, give
 from starlinghaven.program.fronts.platform import PlatformFront
+from starlinghaven.program.fronts.taker import Door
 from starlinghaven.program.operations import operator
 from starlinghaven.program.operations.console import PLACES, Console
 from starlinghaven.program.operations.handover import Handover
@@ -37,7 +38,10 @@
 log = logging.getLogger("starlinghaven")
 
 WINDOW_S = 0.75  # seconds after SIGTERM in which new requests still come: 0.7 s, and some slack
-FLUSH_S = 1.0  # seconds that the last answers, and the lingering closes behind them, may take
+HAND_OVER_S = 2.0  # seconds in which a successor takes the clients, before others' new requests are refused
+FLUSH_S = 1.0  # seconds in which some client must read something of the last answers
+FLUSH_MOST_S = 60.0  # seconds that the last answers may take: the largest at 200 KB/s take some 40
+LOOK_S = 0.005  # seconds between two looks at what is left
 CHECKS = 16  # connections of balancers' checks at once
 STATES = {"ready": platform.READY, "draining": platform.DRAIN, "stopped": platform.UNREADY}
 
@@ -150,7 +154,7 @@
                     await listener.open()
                 nursery.start_soon(self.handover.run, self.engine)
                 for clients in self._clients:
-                    nursery.start_soon(clients.run)
+                    await nursery.start(clients.run)
                 if self.fleet:
                     await nursery.start(self.fleet.run)
                 if self.console:
@@ -160,9 +164,7 @@
                     if self._agent:
                         nursery.start_soon(self._agent.run, self.health.agent, lambda: False)
                 if cfg.passed is not None and (path := self.handover.door()):
-                    door = relay.Door(path, self.core.memory, self.front)
-                    await door.open()
-                    nursery.start_soon(door.run)
+                    await self._open_door(nursery, path)
                 terminate = trio.Event()
                 nursery.start_soon(self._signalled, signals, terminate)
                 self.engine.ready = True
@@ -178,6 +180,16 @@
         log.info("counters %s %s", self.counters.line(), self._closed())
         log.info("stopped")
 
+    async def _open_door(self, nursery: trio.Nursery, path: str) -> None:
+        """Lets an older process hand its clients over. Without a door it closes them as they fall idle."""
+        door = Door(path, self.core.memory, self.front)
+        try:
+            await door.open()
+        except OSError as error:
+            log.error("no door for an older process: %s", error)
+        else:
+            nursery.start_soon(door.run)
+
     async def _signalled(self, signals: AsyncIterator[int], terminate: trio.Event) -> None:
         """Takes signals to the end: one that comes again while draining must not end it unordered."""
         for number in held():
@@ -219,39 +231,74 @@
         After that what still comes is refused, and each connection is closed in order once nothing is open
         on it. All of them end the same way, so that no answer is lost to a reset.
         """
-        giver: relay.Giver | None = None
         log.info("draining open=%d", self.engine.open_requests)
         self.engine.draining = True
-        with trio.move_on_after(WINDOW_S):
-            path = self.handover.successor() if self.core.cfg.passed is not None else None
-            if path is not None:
-                log.info("leaving the clients to a successor")
-                if path and (giver := await relay.give(path, self.core.memory)):
-                    nursery.start_soon(giver.run)
-                async with trio.open_nursery() as leaving:
-                    for server in self.servers:
-                        leaving.start_soon(server.clients.retire)
-                    if giver:
-                        leaving.start_soon(self.front.hand_over, giver)
-                    else:
-                        leaving.start_soon(self.front.clients.retire)
-            else:
-                await trio.sleep_forever()
-        self.front.closed = True  # one that goes on asking must not keep the program from its end
         async with trio.open_nursery() as leaving:
+            giver = await self._window(nursery, leaving)
+            self.front.closed = True  # one that goes on asking must not keep the program from its end
             for clients in self._clients:
                 leaving.start_soon(clients.retire)
             await self.engine.quiet()
             while any(link.busy for clients in self._clients for link in clients.all):
-                await trio.sleep(0.005)  # one that was read waits for its place in the queue
-            with trio.move_on_after(FLUSH_S):
-                while any(clients.all for clients in self._clients):
-                    await trio.sleep(0.005)
-                if giver:
+                await trio.sleep(LOOK_S)  # one that was read waits for its place in the queue
+            while giver is not None and giver.owes:
+                await trio.sleep(LOOK_S)  # answers of the process before this one, passed on
+            await self._flush()
+            if giver is not None:
+                with trio.move_on_after(FLUSH_S):
                     await giver.flushed()
             leaving.cancel_scope.cancel()
         self.engine.ready = False
 
+    async def _window(self, nursery: trio.Nursery, leaving: trio.Nursery) -> Giver | None:
+        """The time in which new requests are still taken; the way to a successor, if there is one.
+
+        A successor is offered the clients' connections until all are there, also after this returns.
+        """
+        path = self.handover.successor() if self.core.cfg.passed is not None else None
+        if path is None:
+            await trio.sleep(WINDOW_S)
+            return None
+        log.info("leaving the clients to a successor")
+        for server in self.servers:
+            leaving.start_soon(server.clients.retire)
+        giver = await give(path, self.core.memory, self.front) if path else None
+        if giver is None:
+            with trio.move_on_after(WINDOW_S):
+                await self.front.clients.retire()
+            return None
+        nursery.start_soon(giver.run)
+        handed_over = trio.Event()
+
+        async def hand_over() -> None:
+            await self.front.hand_over(giver)
+            handed_over.set()
+
+        leaving.start_soon(hand_over)
+        with trio.move_on_after(HAND_OVER_S):
+            await handed_over.wait()
+        log.info(
+            "clients handed over=%d refused=%d kept=%d",
+            self.counters["connections_handed_over"],
+            self.counters["connections_refused"],
+            len(self.front.clients.all),
+        )
+        return giver
+
+    async def _flush(self) -> None:
+        """Lets the last answers leave, and the lingering closes behind them, as long as any client reads."""
+        with trio.move_on_after(FLUSH_MOST_S):
+            before, moved_at = self._undelivered(), trio.current_time()
+            while before and trio.current_time() - moved_at <= FLUSH_S:
+                await trio.sleep(LOOK_S)
+                now = self._undelivered()
+                if now != before:
+                    before, moved_at = now, trio.current_time()
+
+    def _undelivered(self) -> dict[ClientLink, int]:
+        """Bytes that each client connection still has to deliver."""
+        return {link: link.connection.undelivered for clients in self._clients for link in clients.all}
+
 
 def _new_id() -> str:
     return secrets.token_hex(8)
--- a/starlinghaven/program/fronts/clients.py
+++ b/starlinghaven/program/fronts/clients.py
@@ -72,10 +72,12 @@
         self.closed: Counter[CloseReason] = Counter()  # connections closed in order
         self._nursery: trio.Nursery | None = None
 
-    async def run(self) -> None:
+    async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
+        """Serves clients until cancelled; started once connections can be adopted."""
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
-            nursery.start_soon(self._listener.run, self._serve, self._close_idlest)
+            await nursery.start(self._listener.run, self._serve, self._close_idlest)
+            task_status.started()
             while True:
                 await trio.sleep(SWEEP_S)
                 with contained(log, "the sweep of clients' connections"):
@@ -122,13 +124,13 @@
         """Accepts nothing more."""
         self._listener.stop()
 
-    def adopt(self, sock: trio.socket.SocketType, make: Callable[[Connection], ClientLink]) -> None:
+    def adopt(self, link: ClientLink) -> None:
         """Serves a connection that another process accepted."""
 
-        async def serve(connection: Connection) -> None:
-            await self._serve(connection, make)
+        async def serve(_: Connection) -> None:
+            await self._hold(link)
 
-        self._listener.adopt(sock, serve)
+        self._listener.adopt(link.connection, serve)
 
     def _idle(self) -> list[ClientLink]:
         return [p for p in self._links if self._is_idle(p)]
@@ -156,14 +158,15 @@
                 return True
         return False
 
-    async def _serve(
-        self, connection: Connection, make: Callable[[Connection], ClientLink] | None = None
-    ) -> None:
-        link = (make or self._make)(connection)
+    async def _serve(self, connection: Connection) -> None:
+        await self._hold(self._make(connection))
+
+    async def _hold(self, link: ClientLink) -> None:
+        """Serves a connection to its end."""
         self._links.add(link)
         try:
             with contained(log, "a client's connection"):
-                await connection.serve(link.feed)
+                await link.connection.serve(link.feed)
         finally:
             self._links.remove(link)
             with trio.CancelScope(shield=True), contained(log, "the end of a client's connection"):
--- a/starlinghaven/program/fronts/platform.py
+++ b/starlinghaven/program/fronts/platform.py
@@ -4,7 +4,6 @@
 
 import logging
 import math
-import os
 import time
 from collections.abc import Callable, Sequence
 from typing import Protocol
@@ -16,7 +15,7 @@
 from starlinghaven.protocol import ProtocolError, handover, platform
 from starlinghaven.routing.engine import Engine
 from starlinghaven.routing.types import Answer, Ask, Counters, Left, Result, Taken
-from starlinghaven.transport.connection import MOST_UNSENT, Connection, Remains
+from starlinghaven.transport.connection import MOST_UNSENT, Connection
 from starlinghaven.transport.listener import Listener
 from starlinghaven.transport.ring import Ring
 
@@ -25,7 +24,7 @@
 IDLE_S = 5.0  # seconds after which a connection with nothing open is closed; clients do so after 4
 WHOLE_S = 2.5  # seconds that a message may take; usual ones take up to 2, and bad ones are owed an end in 3
 SHUN_S = 1.0  # seconds for which a connection that broke the protocol is kept unread before its end
-HANDED_S = 0.002  # seconds between two looks whether all connections are handed over
+OFFER_AGAIN_S = 0.05  # seconds between two offers of connections to a successor
 MOST_BAD = 8  # calls that can't be used on a connection, with which it is at its end
 TAGS_APART = 4_096  # used tags kept one by one, from which a connection is closed once nothing is open
 SLACK = 4.0  # times a class's give-up time up to which times to wait and to send are usual
@@ -33,18 +32,22 @@
 
 
 class Relay(Protocol):
-    """The way to the process that has this one's connections now."""
+    """The way to the process that takes this one's connections over."""
 
-    def hand(self, client: Client, remains: Remains) -> None: ...
+    @property
+    def closed(self) -> bool:
+        """Whether nothing more can be handed over."""
+
+    async def hand(self, client: Client) -> bool:
+        """Hands a resting connection over; whether the other process has it."""
 
-    def answered(self, client: Client, tag: int, text: bytes) -> None: ...
+    def answered(self, client: Client, tag: int, text: bytes) -> None:
+        """Passes an answer on to the process that has the connection."""
 
 
 class Lender(Protocol):
     """The way to the process that still answers some tags of a connection."""
 
-    def taken(self, number: int, client: Client) -> None: ...
-
     def withdrawn(self, client: Client, tag: int) -> None: ...
 
     def left(self, client: Client) -> None: ...
@@ -88,6 +91,8 @@
         self._bad = 0  # calls that could not be used
         self.open: dict[int, _Ticket] = {}
         self.relay: Relay | None = None  # where answers go, once another process has the connection
+        self.number = 0  # of the connection on that way
+        self._held: list[tuple[int, bytes]] | None = None  # answers that came while it is handed over
         self.lent: set[int] = set()  # tags that an older process still answers
         self.lender: Lender | None = None
         self.ends_at = time.monotonic() + WHOLE_S
@@ -134,11 +139,7 @@
             return self._fail(bad.tag, bad)
         match message:
             case platform.Cancel():
-                if message.tag in self.open:
-                    await self.withdraw(message.tag)
-                elif message.tag in self.lent and self.lender:
-                    self.lent.remove(message.tag)
-                    self.lender.withdrawn(self, message.tag)
+                await self.withdraw(message.tag)
             case platform.Health():
                 self._new_tag(message.tag)
                 self.connection.write(platform.health(message.tag, self._front.state()))
@@ -148,6 +149,9 @@
 
     async def withdraw(self, tag: int) -> None:
         """Guards against calls withdrawn by the hundreds: what came in together is never sent out."""
+        if tag in self.lent and self.lender:
+            self.lent.remove(tag)
+            self.lender.withdrawn(self, tag)
         if (ticket := self.open.pop(tag, None)) is None:
             return
         kept = [taken for taken in self._fresh if taken.ticket is not ticket]
@@ -226,18 +230,23 @@
 
     def closes(self, tag: int, text: bytes) -> None:
         """Writes a request's final answer, unless its client has left."""
-        if not self.open.pop(tag, None):
-            return
-        if self.relay:
-            self.relay.answered(self, tag, text)
-        else:
-            self._say(tag, text)
+        if self.open.pop(tag, None):
+            self._deliver(tag, text)
 
     def returned(self, tag: int, text: bytes = b"") -> None:
         """What an older process answers to a tag that it kept; it fails if that process is gone."""
         if tag in self.lent:
             self.lent.remove(tag)
-            self._say(tag, text or platform.failed(tag))
+            self._deliver(tag, text or platform.failed(tag))
+
+    def _deliver(self, tag: int, text: bytes) -> None:
+        """Gives a final answer to whoever has the connection."""
+        if self._held is not None:
+            self._held.append((tag, text))
+        elif self.relay is not None:
+            self.relay.answered(self, tag, text)
+        else:
+            self._say(tag, text)
 
     def _say(self, tag: int, text: bytes) -> None:
         if not self.connection.write(text, instead=platform.failed(tag)):
@@ -256,34 +265,60 @@
     def rests_since(self) -> float:
         return math.inf if self.amid else self._answered_at
 
-    def state(self, number: int, remains: Remains) -> handover.Handed:
-        """All that another process must know to go on."""
-        unread = self._reader.rest() + remains.unread
-        used, tags = tuple(self._used), tuple(self.open)
-        return handover.Handed(number, self._used_to, used, tags, unread, remains.unsent)
+    @property
+    def half_read(self) -> bytes:
+        """The message that has begun to come in, as far as it was taken from the connection."""
+        return self._reader.rest()
+
+    def offer(self, number: int) -> handover.Offered:
+        """All that another process must know to go on, but for the bytes that the connection holds."""
+        connection = self.connection
+        return handover.Offered(
+            number=number,
+            memory=connection.memory,
+            unread=len(self.half_read) + connection.unread,
+            unsent=connection.unsent,
+            came_after=connection.unread_came_after(),
+            tags=handover.Tags(self._used_to, tuple(self._used), (*self.open, *self.lent)),
+        )
 
-    def resume(self, told: handover.Handed, lender: Lender) -> None:
+    def resume(self, tags: handover.Tags, lender: Lender) -> None:
         """Goes on where another process stopped."""
-        self._used_to, self._used = told.used_to, set(told.used)
-        self.lent, self.lender = set(told.open), lender
-        self.connection.preload(told.unread, told.unsent)
+        self._used_to, self._used = tags.used_to, set(tags.used)
+        self.lent, self.lender = set(tags.open), lender
+        self._answered_at = time.monotonic()
+        self.ends_at = self._answered_at + IDLE_S
+
+    async def hand_over(self, relay: Relay) -> bool:
+        """Offers the connection to another process; whether that one has it.
+
+        Answers that come meanwhile are held, and then go to whoever has the connection.
+        """
+
+        async def transfer() -> bool:
+            self._held, taken = [], False
+            try:
+                taken = await relay.hand(self)
+            finally:
+                held, self._held = self._held, None
+                self.relay = relay if taken else self.relay
+                for tag, text in held:
+                    self._deliver(tag, text)
+            return taken
+
+        return await self.connection.hand_over(transfer)
 
     async def leave(self) -> None:
-        remains = self.connection.remains
-        if remains and self._front.relay:
-            # No step may come between the end of its reading and this: an answer would be lost.
-            self.relay = self._front.relay
-            self.relay.hand(self, remains)
-            return
-        if remains:
-            os.close(remains.fd)
-        if self.lender:
-            self.lender.left(self)
+        if self.connection.handed_over:
+            return  # what is open goes on, and is answered by way of the process that has it
         await self.give_up()
 
     async def give_up(self) -> None:
         """Nothing of what is open is wanted any more."""
+        if self.lender:
+            self.lender.left(self)
         gone, self.open = self.open, {}
+        self.lent = set()
         for ticket in gone.values():
             await self._front.engine.post(Left(ticket))
 
@@ -303,29 +338,28 @@
         self.engine, self.settings, self.state, self.counters = engine, settings, state, counters
         self.classes = {name: n for n, name in enumerate(classes)}
         self.clients = Clients(listener, self._connected)
-        self.relay: Relay | None = None  # to a successor, which takes the connections over
         self.closed = False  # what still comes is refused: the program ends
         self.served: Callable[[str], None] | None = None  # told the client's address of each request served
 
     async def hand_over(self, relay: Relay) -> None:
-        """Accepts nothing more, and gives every connection to the process behind the relay."""
-        self.relay = relay
+        """Accepts nothing more, and gives the connections to the process behind the relay.
+
+        Those that hold little go first: most clients are not kept waiting by those that read slowly. One that
+        is refused is offered again: room for it may come.
+        """
         self.clients.stop()
-        while clients := self.clients.all:
-            for client in clients:
-                client.connection.detach()
-            await trio.sleep(HANDED_S)
+        while not relay.closed and (clients := [c for c in self.clients.all if c.connection.usable]):
+            for client in sorted(clients, key=lambda c: c.connection.unsent):
+                if not relay.closed and isinstance(client, Client):
+                    await client.hand_over(relay)
+            await trio.sleep(OFFER_AGAIN_S)
 
-    def take_over(self, sock: trio.socket.SocketType, told: handover.Handed, lender: Lender) -> None:
+    def take_over(self, connection: Connection, tags: handover.Tags, lender: Lender) -> Client:
         """Goes on with a connection that another process gives."""
-
-        def make(connection: Connection) -> Client:
-            client = self._connected(connection)
-            client.resume(told, lender)
-            lender.taken(told.number, client)
-            return client
-
-        self.clients.adopt(sock, make)
+        client = self._connected(connection)
+        client.resume(tags, lender)
+        self.clients.adopt(client)
+        return client
 
     def _connected(self, connection: Connection) -> Client:
         self.counters.add("connections")
--- a/starlinghaven/transport/channel.py
+++ b/starlinghaven/transport/channel.py
@@ -2,74 +2,111 @@
 
 from __future__ import annotations
 
-import contextlib
+import logging
 import os
 import socket
 from collections import deque
 from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
 
 import trio
 
 from starlinghaven.transport.ring import Memory, NoMemory, Ring
 
+log = logging.getLogger(__name__)
+
 DESCRIPTORS = 16  # at most with one reading
-_ANCILLARY = socket.CMSG_SPACE(DESCRIPTORS * 4)
+_DESCRIPTOR_BYTES = 4
+_ANCILLARY = socket.CMSG_SPACE(DESCRIPTORS * _DESCRIPTOR_BYTES)
 
 Feed = Callable[[Ring, deque[int]], Awaitable[int]]
 """Takes what it can use; descriptors are in order, each there once the first byte it came with is."""
 
 
+@dataclass(slots=True)
+class Outgoing:
+    """Bytes that wait to be written, the descriptor that goes with the first of them, and their memory."""
+
+    data: memoryview
+    fd: int | None = None
+    counted: int = 0  # bytes of the shared memory that they hold
+
+    def keep_descriptor(self) -> None:
+        """The descriptor does not leave any more, if it has not."""
+        self.fd = None
+
+
 class Channel:
-    """Owns its end of the socket, and the descriptors on it until they are taken or written."""
+    """Owns its end of the socket, and the descriptors that came in until they are taken.
+
+    What comes in is bounded by itself: a channel must work also where other connections hold all memory.
+    """
 
-    def __init__(self, sock: trio.socket.SocketType, memory: Memory) -> None:
-        self._sock, self._in = sock, Ring(memory)
-        self._queue: deque[tuple[bytes, int | None]] = deque()
+    def __init__(self, sock: trio.socket.SocketType, memory: Memory, most_in: int) -> None:
+        """`memory` counts what waits to be written where `write` says so; `most_in`: bytes of a message."""
+        self._sock, self._memory = sock, memory
+        self._in = Ring(Memory(4 * most_in))  # a ring is twice as large as what it holds, at most
+        self._queue: deque[Outgoing] = deque()
         self._work = trio.Event()
         self._idle = trio.Event()
         self._fds: deque[int] = deque()
         self.closed = False
 
-    def write(self, data: bytes, fd: int | None = None) -> None:
-        """Queues bytes in order. The descriptor is the channel's from now on."""
-        if self.closed:
-            if fd is not None:
-                os.close(fd)
-            return
-        self._queue.append((data, fd))
-        self._work.set()
+    def write(self, data: bytes, counted: bool = False) -> None:
+        """Queues bytes in order. Errors: NoMemory, if they are to be counted and there is none for them."""
+        held = len(data) if counted and not self.closed else 0
+        if held:
+            self._memory.take(held)
+        self._put(Outgoing(memoryview(data), counted=held))
+
+    def write_with(self, data: bytes, fd: int | None) -> Outgoing:
+        """Queues bytes with a descriptor, which stays the caller's.
+
+        The caller sees to it that the descriptor is open until the bytes have left, or keeps it back.
+        """
+        outgoing = Outgoing(memoryview(data), fd)
+        self._put(outgoing)
+        return outgoing
+
+    def _put(self, outgoing: Outgoing) -> None:
+        if not self.closed:
+            self._queue.append(outgoing)
+            self._work.set()
 
     async def flushed(self) -> None:
         """Waits until all that is queued has been written, or the other end is gone."""
         while self._queue and not self.closed:
-            self._idle = trio.Event()
+            if self._idle.is_set():  # else others wait for it already
+                self._idle = trio.Event()
             await self._idle.wait()
 
     async def serve(self, feed: Feed) -> None:
-        """Reads and writes until the other end closes; gives everything back."""
+        """Reads and writes until the other end closes; gives everything back. Errors: those of `feed`."""
         try:
-            with contextlib.suppress(OSError, NoMemory):
-                async with trio.open_nursery() as nursery:
-                    nursery.start_soon(self._write_out)
-                    await self._read_in(feed)
-                    nursery.cancel_scope.cancel()
-        except* (OSError, NoMemory):
-            pass  # the other process broke off: the same as an end
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._write_out)
+                await self._read_in(feed)
+                nursery.cancel_scope.cancel()
+        except* (OSError, NoMemory) as errors:
+            log.warning("the other process of the upgrade broke off: %s", errors.exceptions)
         finally:
             self.closed = True
             self._sock.close()
             self._in.close()
-            for fd in [*self._fds, *(fd for _, fd in self._queue if fd is not None)]:
+            for fd in self._fds:
                 os.close(fd)
+            self._memory.give(sum(outgoing.counted for outgoing in self._queue))
+            self._queue.clear()
             self._idle.set()
 
     async def _read_in(self, feed: Feed) -> None:
         while True:
-            got, told, _, _ = await self._sock.recvmsg_into([self._in.space()], _ANCILLARY)
+            got, told, flags, _ = await self._sock.recvmsg_into([self._in.space()], _ANCILLARY)
             for level, kind, data in told:
                 if (level, kind) == (socket.SOL_SOCKET, socket.SCM_RIGHTS):
-                    whole = len(data) - len(data) % 4
-                    self._fds += [int.from_bytes(data[n : n + 4], "little") for n in range(0, whole, 4)]
+                    self._fds += _descriptors(data)
+            if flags & socket.MSG_CTRUNC:
+                log.warning("a descriptor from the other process could not be had")
             if not got:
                 return
             self._in.filled(got)
@@ -82,13 +119,21 @@
                 self._idle.set()
                 self._work = trio.Event()
                 await self._work.wait()
-            data, fd = self._queue[0]
-            rest = memoryview(data)
-            if fd is not None:
-                rights = [(socket.SOL_SOCKET, socket.SCM_RIGHTS, fd.to_bytes(4, "little"))]
-                rest = rest[await self._sock.sendmsg([rest], rights) :]
-                os.close(fd)
-                self._queue[0] = (data, None)
-            while rest:
-                rest = rest[await self._sock.send(rest) :]
+            outgoing = self._queue[0]
+            if outgoing.fd is not None:
+                number = outgoing.fd.to_bytes(_DESCRIPTOR_BYTES, "little")
+                rights = [(socket.SOL_SOCKET, socket.SCM_RIGHTS, number)]
+                outgoing.data = outgoing.data[await self._sock.sendmsg([outgoing.data], rights) :]
+                outgoing.fd = None
+            while outgoing.data:
+                outgoing.data = outgoing.data[await self._sock.send(outgoing.data) :]
             self._queue.popleft()
+            if outgoing.counted:
+                self._memory.give(outgoing.counted)
+
+
+def _descriptors(data: bytes) -> list[int]:
+    whole = len(data) - len(data) % _DESCRIPTOR_BYTES
+    return [
+        int.from_bytes(data[n : n + _DESCRIPTOR_BYTES], "little") for n in range(0, whole, _DESCRIPTOR_BYTES)
+    ]
--- a/starlinghaven/transport/connection.py
+++ b/starlinghaven/transport/connection.py
@@ -3,20 +3,23 @@
 from __future__ import annotations
 
 import contextlib
+import logging
 import math
 import os
 import select
 import socket
-import time
-from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
+from collections.abc import Awaitable, Callable, Iterator
 
 import trio
 
-from starlinghaven.transport import arrivals, errors
-from starlinghaven.transport.queue_age import QueueAge, unread_bytes
+from starlinghaven.containment import contained
+from starlinghaven.transport import errors
+from starlinghaven.transport.input_age import InputAge
+from starlinghaven.transport.queue_age import undelivered_bytes
 from starlinghaven.transport.ring import Memory, NoMemory, Ring
 
+log = logging.getLogger(__name__)
+
 PASSING_S = 0.01  # seconds after which a read or write is tried again that failed for a moment
 STALL_S = 10.0  # seconds in which a peer must read something of what waits for it
 STARVED_S = 2.0  # seconds that a half-read message may wait for memory
@@ -24,32 +27,39 @@
 MOST_UNSENT = 8 * 1024 * 1024  # bytes unsent at most: all open requests of a connection with full answers
 LINGER_S = 0.5  # seconds of a lingering close in which what the peer still sends is read and dropped
 MOST_DROPPED = HIGH_WATER  # bytes that are read and dropped in that time, at most
-FULL_SHARE = 0.25  # of the receive buffer that is filled, from which the peer's window may have closed
 HUNG_UP = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 
 Feed = Callable[[Ring], Awaitable[int]]
 """Takes what it can use from the ring; returns how many bytes the ring must hold before it can go on."""
 
 
-@dataclass(frozen=True, slots=True)
-class Remains:
-    """What is left of a detached connection: whoever takes it owns the descriptor."""
-
-    fd: int
-    unread: bytes
-    unsent: bytes
+Transfer = Callable[[], Awaitable[bool]]
+"""Moves a resting connection to another process; whether that one owns it from now on."""
 
 
 class Connection:
-    """Owns a socket and its two rings. `serve` opens and closes them; others only write or abort."""
-
-    def __init__(self, sock: trio.socket.SocketType, memory: Memory, came_after: float | None = None) -> None:
-        """`came_after`: for one that waited to be accepted, when it can have come, on time.monotonic()."""
+    """Owns a socket and its two rings. `serve` opens and closes them; others only write or abort.
+
+    Another process can take it over: see `hand_over`, and `restore` there.
+    """
+
+    def __init__(
+        self,
+        sock: trio.socket.SocketType,
+        memory: Memory,
+        came_after: float | None = None,
+        spares: bool = False,
+    ) -> None:
+        """`came_after`: for one that waited to be accepted, when it can have come, on time.monotonic().
+
+        `spares`: what its peer does not read leaves a part of the memory free for others. Errors: NoMemory,
+        and OSError; the socket is still the caller's then.
+        """
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._sock, self._memory = sock, memory
         self._in = Ring(memory)
         try:
-            self._out = Ring(memory)
+            self._out = Ring(memory, spares)
         except NoMemory:
             self._in.close()
             raise
@@ -68,24 +78,31 @@
         self._peer: str | None = None  # the peer's address, once asked
         self.on_linger: Callable[[], None] | None = None  # told once it has shut its sending side
         self._shunned_s: float | None = None
-        self._detaching = False
-        self.remains: Remains | None = None
+        self._transfer: Transfer | None = None  # how another process is to take it
+        self._settled = trio.Event()  # whether that one has is known
+        self._pausing = False  # its tasks are to stop, so that it rests
+        self._resting = False  # they have, and `_transfer` is at work
+        self.handed_over = False
         self.closed = False
         self._eof = False  # the peer's end was read
         self.reading = False  # it waits for the peer's bytes, and for nothing else
         self.heard_at = trio.current_time()  # when the last bytes came in
-        self._input_age = QueueAge()
-        self._input_age.sample(0, time.monotonic() if came_after is None else came_after)
-        self._read_came_after = math.inf  # when what was read last can have come at the earliest
+        self._input_age = InputAge(sock, came_after)
 
     def unread_for_s(self) -> float:
         """Seconds since what was read last came in, at most: in the system's buffers, and here."""
-        return max(arrivals.unread_for_s(), time.monotonic() - self._read_came_after)
+        return self._input_age.unread_for_s()
 
     @property
     def unsent(self) -> int:
+        """Bytes queued that the system has not taken."""
         return self._out.size
 
+    @property
+    def undelivered(self) -> int:
+        """Bytes queued that the peer's system has not acknowledged, as far as this one says."""
+        return self._out.size + (0 if self.closed else undelivered_bytes(self._sock.fileno()))
+
     @property
     def queued(self) -> int:
         """All bytes that were ever written to it; `sent` of them left."""
@@ -99,7 +116,7 @@
     @property
     def usable(self) -> bool:
         """Whether what is written now can still go out."""
-        return not (self.closed or self._ending or self._detaching)
+        return not (self.closed or self._ending or self._transfer)
 
     @property
     def pending(self) -> bool:
@@ -111,6 +128,11 @@
         """Whether the peer has ended its side, read or not: looked at before something is begun for it."""
         return self._eof or bool(self._events() & HUNG_UP)
 
+    @property
+    def _readable(self) -> bool:
+        """Whether input waits to be read."""
+        return bool(self._events() & select.POLLIN)
+
     def _events(self) -> int:
         if self.closed:
             return 0
@@ -169,7 +191,7 @@
         most or until the peer ends: closing over unread input resets the connection, and the peer may
         lose the last answer.
         """
-        if not self.usable:
+        if self.closed or self._ending or self._resting:
             return
         self._ending = True
         if not self._out.size:
@@ -184,18 +206,78 @@
         if self.on_linger:
             self.on_linger()
 
-    def detach(self) -> None:
-        """Ends it without closing, as soon as nothing that came in is being handled: see `remains`."""
-        self._detaching = True
+    async def hand_over(self, transfer: Transfer) -> bool:
+        """Offers it to another process; whether that one has it.
+
+        It rests, neither reading nor writing, as soon as nothing that came in is being handled. `transfer`
+        runs then. If the other process does not take it, it goes on here as if nothing had been.
+        """
+        if not self.usable or self._shunned_s is not None:
+            return False
+        self._transfer, self._settled, self._pausing = transfer, trio.Event(), True
         self._room.set()
-        if not self.closed:
-            trio.lowlevel.notify_closing(self._sock)  # wakes who waits for it, and closes nothing
+        trio.lowlevel.notify_closing(self._sock)  # wakes who waits for it, and closes nothing
+        await self._settled.wait()
+        return self.handed_over
 
-    def preload(self, unread: bytes, unsent: bytes) -> None:
-        """What another process had read and not used, and not yet written."""
-        self._in.put(unread)
-        self._out.put(unsent)
-        self._work.set()
+    @property
+    def fd(self) -> int:
+        """Its descriptor, for another process; it stays the connection's own."""
+        return self._sock.fileno()
+
+    @property
+    def unread(self) -> int:
+        """Bytes that have come in and were not used yet."""
+        return self._in.size
+
+    @property
+    def memory(self) -> int:
+        """Bytes of the shared memory that its rings hold."""
+        return self._in.capacity + self._out.capacity
+
+    def unread_came_after(self) -> float:
+        """When what is unread, here and in the system, can have come at the earliest (time.monotonic())."""
+        return self._input_age.unread_came_after(self._readable, held=bool(self._in.size))
+
+    def unread_pieces(self, size: int) -> Iterator[bytes]:
+        """What has come in and was not used, in pieces of this size; it stays."""
+        return self._pieces(self._in, size)
+
+    def unsent_pieces(self, size: int) -> Iterator[bytes]:
+        """What the system has not taken yet, in pieces of this size; it stays."""
+        return self._pieces(self._out, size)
+
+    @staticmethod
+    def _pieces(ring: Ring, size: int) -> Iterator[bytes]:
+        return (ring.peek(at, min(size, ring.size - at)) for at in range(0, ring.size, size))
+
+    def cede(self) -> None:
+        """Another process owns it: drops what the rings hold, and cedes their memory."""
+        self._queued -= self._out.size
+        self._in.cede()
+        self._out.cede()
+
+    def reserve(self, unread: int, unsent: int) -> None:
+        """Makes room for what is to be restored. Errors: NoMemory."""
+        self._in.reserve(unread)
+        self._out.reserve(unsent)
+
+    def borrow(self, most: int) -> int:
+        """Counts memory of its rings as borrowed, up to so many bytes; returns how many they are."""
+        of_output = self._out.borrow(most)
+        return of_output + self._in.borrow(most - of_output)
+
+    def restore_unread(self, data: bytes, came_after: float) -> None:
+        """Bytes that another process had read and not used; they came at `came_after` at the earliest."""
+        self._in.put(data)
+        if data:
+            self._input_age.restored(came_after)
+
+    def restore_unsent(self, data: bytes) -> None:
+        """Bytes that another process had queued and the system had not taken."""
+        self._out.reserve(self._out.size + len(data))  # within what was reserved: nothing is to be spared
+        self._out.put(data)
+        self._queued += len(data)
 
     def discard(self) -> None:
         """Gives back one that was never served: its socket, without a word to the peer, and its rings."""
@@ -229,17 +311,16 @@
         """
         try:
             with self._scope:
-                async with trio.open_nursery() as nursery:
-                    nursery.start_soon(self._write_out)
-                    detached = await self._read_in(feed)
-                    nursery.cancel_scope.cancel()
-                if detached:
-                    size_in, size_out = self._in.size, self._out.size
-                    self.remains = Remains(
-                        os.dup(self._sock.fileno()), self._in.take(size_in), self._out.take(size_out)
-                    )
+                while not self.handed_over:
+                    async with trio.open_nursery() as nursery:
+                        nursery.start_soon(self._write_out)
+                        rests = await self._read_in(feed)
+                        nursery.cancel_scope.cancel()
+                    if not rests:
+                        break
+                    await self._be_taken()
         except* OSError:
-            pass  # no descriptor for what remains, or of what it feeds: the same as an end
+            pass  # of what it feeds: the same as an end
         finally:
             self.closed = True
             self._sock.close()
@@ -247,21 +328,37 @@
             self._queued -= self._out.size  # these never left
             self._out.close()
             self.on_linger = None
+            self._settled.set()
+
+    async def _be_taken(self) -> None:
+        """Lets another process take it, unless it has begun to end; notes whether that one has."""
+        self._pausing, transfer = False, self._transfer
+        try:
+            if transfer is not None and not self._ending:
+                self._resting = True
+                with contained(log, "the hand-over of a connection"):
+                    self.handed_over = await transfer()
+        finally:
+            self._transfer, self._resting = None, False
+            self._settled.set()
 
     async def _read_in(self, feed: Feed) -> bool:
-        """Reads until the end; whether that is since it is to be detached."""
+        """Reads until the end; whether that is since another process is to have it."""
         if self._in.size and not await self._use(feed):
             return False
-        while not self._detaching:
+        while not self._pausing:
             while self._out.size > self.high_water and self.usable:
                 self._room = trio.Event()
                 await self._room.wait()
-            awaited = self._look_at_input()
+            if self._pausing:
+                break
+            awaited = not self._readable
+            self._input_age.look(readable=not awaited)
             self.reading = True
             try:
                 got = await self._sock.recv_into(self._in.space())
             except trio.ClosedResourceError:
-                if not self._detaching:
+                if not self._pausing:
                     raise
                 break
             except OSError as error:
@@ -275,10 +372,7 @@
                 self._eof = True
                 return False
             self.heard_at = trio.current_time()
-            if awaited:  # nothing was there until the event loop looked for the last time before this
-                self._input_age.sample(0, time.monotonic() - arrivals.unread_for_s())
-            came_after = self._input_age.take(got)
-            self._read_came_after = came_after if came_after > -math.inf else math.inf
+            self._input_age.read(got, awaited)
             self._in.filled(got)
             if self._ending:
                 self._in.skip(self._in.size)  # it crossed the close: nothing more is taken
@@ -289,19 +383,6 @@
                 return False
         return True
 
-    def _look_at_input(self) -> bool:
-        """Notes how much input waits to be read; whether there is none."""
-        if not self._events() & select.POLLIN:
-            self._input_age.sample(0, time.monotonic())
-            return True
-        length = unread_bytes(self._sock.fileno())
-        if length is None:
-            self._input_age = QueueAge()
-        elif length:
-            room = self._sock.getsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF)
-            self._input_age.sample(length, time.monotonic(), full=length >= room * FULL_SHARE)
-        return False
-
     async def _use(self, feed: Feed) -> bool:
         """Hands on what came in; whether there is a reason to go on reading."""
         wanted = await feed(self._in)
@@ -343,9 +424,9 @@
                             return
                     self._out.skip(await self._sock.send(self._out.head()))
                 except trio.ClosedResourceError:
-                    if not self._detaching:
+                    if not self._pausing:
                         raise
-                    return  # what is left goes on elsewhere
+                    return  # what is left goes on elsewhere, or here when it rests no more
                 except OSError as error:
                     if not errors.passes(error):
                         self._scope.cancel()
--- a/starlinghaven/transport/listener.py
+++ b/starlinghaven/transport/listener.py
@@ -21,7 +21,7 @@
 from starlinghaven.transport.connection import Connection
 from starlinghaven.transport.places import Places
 from starlinghaven.transport.queue_age import QueueAge, waiting_connections
-from starlinghaven.transport.ring import Memory, NoMemory
+from starlinghaven.transport.ring import Memory
 
 log = logging.getLogger(__name__)
 
@@ -31,6 +31,8 @@
 LINGERING = 16  # connections in their lingering close beyond the places, at most a quarter of these
 MOST_FAILED = 8  # accepts that may fail in a row before there is a pause
 
+NO_TICKET = object()  # of a connection that no gate was asked of
+
 Serve = Callable[[Connection], Awaitable[None]]
 """Serves one connection to its end."""
 
@@ -158,23 +160,30 @@
                     return None
         return None
 
-    async def run(self, serve: Serve, make_room: Callable[[], bool]) -> None:
-        """Accepts until cancelled. At the limit `make_room` closes an idle connection, if there is one, for
-        each that waits.
+    async def run(
+        self,
+        serve: Serve,
+        make_room: Callable[[], bool],
+        task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Accepts until cancelled; started once connections can be adopted.
+
+        At the limit `make_room` closes an idle connection, if there is one, for each that waits.
 
         The next is accepted as soon as that one is gone: a flood that says nothing must not make usual
         clients wait.
         """
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
+            task_status.started()
             with self._accepting:
                 await self._accept(nursery, serve, make_room)
 
-    def adopt(self, sock: trio.socket.SocketType, serve: Serve) -> None:
+    def adopt(self, connection: Connection, serve: Serve) -> None:
         """Serves a connection that another process accepted, like one of its own."""
         assert self._nursery is not None
         self.count += 1
-        self._nursery.start_soon(self._one, sock, serve)
+        self._nursery.start_soon(self._hold, connection, serve, NO_TICKET)
 
     def stop(self) -> None:
         """Accepts nothing more but what the system has accepted already; that and the others go on.
@@ -284,7 +293,7 @@
     def _ticket(self, sock: trio.socket.SocketType) -> object | None:
         """What the gate says of a new connection; None: it was refused and is closed."""
         if self.gate is None:
-            return True
+            return NO_TICKET
         try:
             address = sock.getpeername()[0]
         except OSError:
@@ -296,33 +305,38 @@
         return ticket
 
     async def _one(
-        self,
-        sock: trio.socket.SocketType,
-        serve: Serve,
-        ticket: object = True,
-        came_after: float | None = None,
+        self, sock: trio.socket.SocketType, serve: Serve, ticket: object, came_after: float
     ) -> None:
-        connection: Connection | None = None
+        """Serves an accepted connection, where there is memory for it."""
+        try:
+            connection = Connection(sock, self._memory, came_after, spares=True)
+        except Exception as error:  # mostly NoMemory or OSError; none may end the listener
+            sock.close()
+            log.warning("connection turned away: %s", error)
+            self._release(None, ticket)
+            return
+        await self._hold(connection, serve, ticket)
+
+    async def _hold(self, connection: Connection, serve: Serve, ticket: object) -> None:
+        """Serves a connection; its place is free after that, whatever happens."""
         try:
-            try:
-                connection = Connection(sock, self._memory, came_after)
-            except (NoMemory, OSError) as error:
-                sock.close()
-                log.warning("connection turned away: %s", error)
-                return
             connection.on_linger = partial(self._linger, connection)
             with contained(log, "a connection"):  # its trouble must not end the others
                 await serve(connection)
             if not connection.closed:  # it failed before it was served
                 connection.discard()
         finally:
-            if connection is not None and connection in self._lingering:
-                del self._lingering[connection]
-            else:
-                self.count -= 1
-            self._left.set()
-            if self.gate is not None:
-                self.gate.release(ticket)
+            self._release(connection, ticket)
+
+    def _release(self, connection: Connection | None, ticket: object) -> None:
+        """The one place where a place is given back; one that lingers has given it back before."""
+        if connection is not None and connection in self._lingering:
+            del self._lingering[connection]
+        else:
+            self.count -= 1
+        self._left.set()
+        if self.gate is not None:
+            self.gate.release(ticket)
 
     def _linger(self, connection: Connection) -> None:
         """Its place is free once it has shut its sending side: what is left is bounded in time and number.
--- a/starlinghaven/transport/queue_age.py
+++ b/starlinghaven/transport/queue_age.py
@@ -40,6 +40,16 @@
     return int(length)
 
 
+def undelivered_bytes(fd: int) -> int:
+    """Bytes written to a connected socket that its peer has not acknowledged; 0 where nobody says."""
+    try:
+        raw = fcntl.ioctl(fd, termios.TIOCOUTQ, bytes(_INT.size))
+    except OSError:
+        return 0
+    (length,) = _INT.unpack(raw)
+    return int(length)
+
+
 class QueueAge:
     """The earliest moment at which what is taken next can have come into the queue."""
 
--- a/tests/steps.py
+++ b/tests/steps.py
@@ -79,7 +79,7 @@
         self.written: list[bytes] = []
         self.closed = self.hung_up = self.pending = False
         self.heard_at = 0.0
-        self.remains = None
+        self.handed_over = False
         self.takes = True  # whether the system takes what is written
         self.queued = self.sent = self.unsent = 0
 
--- a/tests/test_arrivals.py
+++ b/tests/test_arrivals.py
@@ -16,7 +16,7 @@
 
 from starlinghaven.standins.platform import STORES, Archive
 from starlinghaven.transport import arrivals
-from starlinghaven.transport import connection as connection_module
+from starlinghaven.transport import input_age as input_age_module
 from starlinghaven.transport import listener as listener_module
 from starlinghaven.transport.arrivals import ArrivalWatch
 from starlinghaven.transport.connection import HIGH_WATER, Connection
@@ -254,7 +254,7 @@
         return 1
 
     with pytest.MonkeyPatch.context() as patch:
-        patch.setattr(connection_module, "unread_bytes", lambda _: None)
+        patch.setattr(input_age_module, "unread_bytes", lambda _: None)
         patch.setattr(listener_module, "waiting_connections", lambda _: None)
         async with served(feed) as stream:
             for n in range(4):
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -263,9 +263,13 @@
 @given(st.lists(st.integers(1, 40)))
 def test_frames_are_read_in_pieces_as_they_were_worded(cuts: list[int]) -> None:
     frames: list[handover.Frame] = [
-        handover.Handed(7, 12, (14, 20), (11, 14), b"half a mess", b"age"),
+        handover.Handed(7, handover.Tags(12, (14, 20), (11, 14)), b"half a mess", b"age"),
         handover.Answered(7, 11, b"x" * 50),
-        handover.Withdrawn(7, 14), handover.Gone(7), handover.Handed(8, 0, (), (), b"", b""),
+        handover.Withdrawn(7, 14), handover.Gone(7),
+        handover.Handed(8, handover.Tags(0, (), ()), b"", b""),
+        handover.Offered(9, 1 << 23, 48_000, 1 << 22, 17.5, handover.Tags(12, (14, 2**64 - 1), (11, 14))),
+        handover.Unread(9, b"x" * 30), handover.Unsent(9, b"y" * 30), handover.Complete(9),
+        handover.Accepted(9), handover.Refused(9, "no memory"), handover.Taken(9),
     ]  # fmt: skip
     text, reader, ring = b"".join(map(handover.encode, frames)), handover.FrameReader(), Ring(Memory(1 << 20))
     read: list[handover.Frame] = []
@@ -275,7 +279,7 @@
         while (frame := reader.next(ring)) is not None:
             read.append(frame)
     assert read == frames
-    for spoilt in (b"\xff" * 13, handover.encode(frames[2])[:4] + b"\x09" + handover.encode(frames[2])[5:]):
+    for spoilt in (b"\xff" * 13, handover.encode(frames[2])[:4] + b"\x0b" + handover.encode(frames[2])[5:]):
         ring.put(spoilt)
         with pytest.raises(ProtocolError):
             handover.FrameReader().next(ring)
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import contextlib
-import os
 import socket
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
@@ -270,11 +269,15 @@
             assert connection.unsent
             rest = b""
             if detached:
-                connection.detach()
-                await until(lambda: links[-1].connection.remains)
-                assert connection.remains is not None
-                os.close(connection.remains.fd)
-                rest = connection.remains.unsent
+                held = list[bytes]()
+
+                async def taken(held: list[bytes] = held, connection: Connection = connection) -> bool:
+                    held += connection.unsent_pieces(65_000)
+                    connection.cede()
+                    return True
+
+                assert await connection.hand_over(taken)
+                rest = b"".join(held)
                 assert rest
             got = b""
             while len(got) + len(rest) < len(whole):
