--- a/starlinghaven/routing/engine.py
+++ b/starlinghaven/routing/engine.py
@@ -13,6 +13,7 @@
 from starlinghaven.containment import CONTAINED, contained
 from starlinghaven.decisions.execution import ExecutionRecord
 from starlinghaven.router import Router
+from starlinghaven.routing import request_log
 from starlinghaven.routing.clock import Clock
 from starlinghaven.routing.copies import Copies
 from starlinghaven.routing.guard import Guard, OpenRequest
@@ -45,7 +46,6 @@
 )
 
 log = logging.getLogger(__name__)
-request_log = logging.getLogger("starlinghaven.requests")
 
 TURN_S = 0.1  # seconds between two turns at most: a longer one shows that the process stood still
 OBSERVE_MS = 100.0  # between two looks at the wall clock; each stamp that is mapped looks as well
@@ -299,12 +299,12 @@
         ask = event.ask
         self.counters.add("taken")
         if len(self._open) >= MOST_OPEN:  # guards memory; the Router refuses long before
-            request_log.info("request %s refused: %d requests open", ask.id, len(self._open))
+            request_log.engine_full(ask, len(self._open))
             self._tell(event, Answer(Result.REFUSED, wait_ms=self._settings.pushback_ms))
             return
         if self._open.has_id(ask.id):
             self.counters.add("ids_again")
-            request_log.info("request %s failed: its id is that of an open request", ask.id)
+            request_log.id_in_use(ask)
             self._tell(event, Answer(Result.FAILED))
             return
         deadline = ask.taken_ms + max(ask.patience_ms - MARGIN_MS, ask.patience_ms / 2)
@@ -359,7 +359,7 @@
         """The one place where an open request gets its final answer."""
         answer = self._guard.allowed(self._open[number], answer)
         if answer.result in (Result.REFUSED, Result.FAILED):
-            self._note_unserved(self._open[number], answer)
+            request_log.unserved(self._open[number], answer, self.clock.now(), len(self._open))
         self._tell(self._close(number), answer)
 
     def _tell(self, request: Taken | OpenRequest, answer: Answer) -> None:
@@ -394,7 +394,7 @@
             self.heard.add(a.store)
         request = self._open.get(a.request)
         if e.code is not i.Code.OK:
-            self._note_ended(a, e.code)
+            request_log.attempt_unserved(a, e.code, self.clock.now())
         if request is not None:
             request.execution.end(a.number, e.code)
             request.last = e.code
@@ -418,13 +418,6 @@
             )
         )
 
-    def _note_ended(self, a: Attempt, code: i.Code) -> None:
-        request_log.info(
-            "request %s attempt=%d ended %s store=%s source=%s written=%d after_ms=%.0f",
-            *(a.ask.id, a.number, code.name.lower(), a.store, a.source or "-", a.written),
-            self.clock.now() - a.sent_ms,
-        )
-
     def _time_out(self, a: Attempt) -> None:
         if self._attempts.get((a.request, a.number)) is a:
             self._give_up(a, i.Code.TIMEOUT)
@@ -476,10 +469,7 @@
         request.attempts.append(attempt)
         if attempt.number:
             self.counters.add(f"retried_after_{request.last_word}")
-            request_log.info(
-                "request %s attempt=%d store=%s source=%s after %s",
-                *(request.ask.id, attempt.number, attempt.store, attempt.source or "-", request.last_word),
-            )
+            request_log.attempt_repeated(attempt, request.last_word)
         request.execution.begin(attempt.number, attempt.location, now)
         self._attempts[order.request, attempt.number] = attempt
         self.counters.add("sent")
@@ -539,14 +529,6 @@
             answer = Answer(Result.FAILED, late=late, lacking=request.lacking)
         self._finish(action.request, answer)
 
-    def _note_unserved(self, request: OpenRequest, answer: Answer) -> None:
-        now, attempts = self.clock.now(), len(request.attempts)
-        request_log.info(
-            "request %s %s class=%d attempts=%d last=%s after_ms=%.0f left_ms=%.0f open=%d",
-            *(request.ask.id, answer.result.name.lower(), request.ask.cls, attempts, request.last_word),
-            *(now - request.ask.taken_ms, request.deadline - now, len(self._open)),
-        )
-
     def _listed(self, news: FleetNews) -> None:
         before = self._stores.ids
         members = self._stores.update(news)
--- /dev/null
+++ b/starlinghaven/routing/request_log.py
@@ -0,0 +1,48 @@
+"""The log lines of single requests, for operators who follow one by its id (docs/oncall.md)."""
+
+from __future__ import annotations
+
+import logging
+
+from starlinghaven import interface as i
+from starlinghaven.routing.guard import OpenRequest
+from starlinghaven.routing.types import Answer, Ask, Attempt
+
+log = logging.getLogger("starlinghaven.requests")
+
+
+def engine_full(ask: Ask, open_requests: int) -> None:
+    """A request was refused unseen."""
+    log.info("request %s refused: %d requests open", ask.id, open_requests)
+
+
+def id_in_use(ask: Ask) -> None:
+    """A request was failed since stores know an open one by the same id."""
+    log.info("request %s failed: its id is that of an open request", ask.id)
+
+
+def attempt_repeated(attempt: Attempt, last_word: str) -> None:
+    """A further attempt begins, after one that ended so."""
+    log.info(
+        "request %s attempt=%d store=%s source=%s after %s",
+        *(attempt.ask.id, attempt.number, attempt.store, attempt.source or "-", last_word),
+    )
+
+
+def attempt_unserved(attempt: Attempt, code: i.Code, now_ms: float) -> None:
+    """An attempt ended without serving its request."""
+    log.info(
+        "request %s attempt=%d ended %s store=%s source=%s written=%d after_ms=%.0f",
+        *(attempt.ask.id, attempt.number, code.name.lower(), attempt.store, attempt.source or "-"),
+        *(attempt.written, now_ms - attempt.sent_ms),
+    )
+
+
+def unserved(request: OpenRequest, answer: Answer, now_ms: float, open_requests: int) -> None:
+    """A request got a final answer that does not serve it."""
+    ask = request.ask
+    log.info(
+        "request %s %s class=%d attempts=%d last=%s after_ms=%.0f left_ms=%.0f open=%d",
+        *(ask.id, answer.result.name.lower(), ask.cls, len(request.attempts), request.last_word),
+        *(now_ms - ask.taken_ms, request.deadline - now_ms, open_requests),
+    )
