--- a/starlinghaven/lab/soak/plan.py
+++ b/starlinghaven/lab/soak/plan.py
@@ -58,7 +58,7 @@
     CRASHED = "crashed"
     NOT_HERE = "not_here"
     CUT = "cut"  # answers of too few strings
-    SPOILT = "spoilt"  # answers with other bytes in them
+    SPOILT = "spoilt"  # answers with other bytes in them, or with numbers out of range
     DOUBLED = "doubled"  # the same answer again, some ms later
     ENDLESS = "endless"  # answers that dribble and never end
 
--- a/starlinghaven/lab/soak/stores.py
+++ b/starlinghaven/lab/soak/stores.py
@@ -21,6 +21,8 @@
 CLEARED_WITHIN_S = 5.7  # of a purge; the settings promise 6 s
 GROUPS = 4
 HIT_SHARE = 0.5  # of the requests at a store with a fault that meet it
+OUT_OF_RANGE = (f"since={'7' * 400}", "since=-1", "fill=1e400", "fill=nan", "fill=-1")
+OUT_OF_RANGE_SHARE = 0.5  # of spoilt answers: a number that no answer can have, in an answer that is whole
 PART = 0  # every object of a soak has one part
 NOTES = ("mem", "parent", "origin", "shared", "denied", "unreached", "absent", "crowded", "behind")
 PROVEN = frozenset({"overload", "not_here", "nobody"})
@@ -241,6 +243,9 @@
                 said = self._random.choice((word, *PROVEN)).encode()
                 rest = self._random.choice(((), (b"-",)))
                 await words.send(encode(call.encode(), said, *rest))
+            case StoreFault.SPOILT if self._random.random() < OUT_OF_RANGE_SHARE:
+                field = self._random.choice(OUT_OF_RANGE).encode()
+                await words.send(encode(call.encode(), word.encode(), b"rev=00aa," + field, b"x"))
             case StoreFault.SPOILT:
                 at = self._random.randrange(len(answer) - 4)  # the last byte of a body could not be told
                 await words.send(answer[:at] + b"\xff\r\n*" + answer[at + 1 :])
