Close a connection as idle only once its client has what was answered

Cause: the idle time ran from the write into the system's buffer, and only bytes in the proxy's own ring kept a connection open. The client sees the end only behind the answers that it still reads; what it asks until then was dropped and answered with a reset.

A connection is idle once its client's system has acknowledged all (SIOCOUTQ), or nothing of it moved for 10 s, and its idle time begins then; the same for room, the end of the program and used tags. A writer is given up after 10 s only if nothing moved in that time. A connection that was handed over counts what the older process has written.

--- a/starlinghaven/program/fronts/clients.py
+++ b/starlinghaven/program/fronts/clients.py
@@ -7,13 +7,14 @@
 import time
 from collections import Counter, deque
 from collections.abc import Callable
+from dataclasses import dataclass
 from enum import StrEnum
 from typing import Protocol
 
 import trio
 
 from starlinghaven.containment import contained
-from starlinghaven.transport.connection import Connection
+from starlinghaven.transport.connection import STALL_S, Connection
 from starlinghaven.transport.listener import Listener
 from starlinghaven.transport.ring import Ring
 
@@ -41,6 +42,9 @@
 
     async def feed(self, ring: Ring) -> int: ...
 
+    def delivering(self) -> None:
+        """What was answered is still being read: its rest, and its time to be idle, begin only now."""
+
     async def leave(self) -> None:
         """The connection has ended: what was open on it is given up."""
 
@@ -60,6 +64,18 @@
     def ends_at(self) -> float:
         """When, on time.monotonic(), it is closed if nothing is owed on it until then."""
 
+    @property
+    def exhausted(self) -> bool:
+        """Whether it is to be closed as soon as nothing is owed on it."""
+
+
+@dataclass(frozen=True, slots=True)
+class _Delivery:
+    """How much a connection has to deliver, and since when it is so much (time.monotonic())."""
+
+    left: int
+    moved_at: float
+
 
 class Clients:
     """Owns a listener and the connections that came through it."""
@@ -71,6 +87,7 @@
         self._ordered_at = -math.inf  # when they were found
         self.closed: Counter[CloseReason] = Counter()  # connections closed in order
         self._nursery: trio.Nursery | None = None
+        self._deliveries: dict[ClientLink, _Delivery] = {}  # of connections that had something to deliver
 
     async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
         """Serves clients until cancelled; started once connections can be adopted."""
@@ -85,10 +102,27 @@
 
     def _close_expired(self) -> None:
         now = time.monotonic()
-        for link in self._idle():
-            if link.ends_at < now:
+        for link in self.all:
+            if link.busy or not link.connection.usable:
+                continue
+            if self._is_delivering(link):
+                link.delivering()
+            elif link.exhausted:
+                self.close(link, CloseReason.TAGS)
+            elif link.ends_at < now:
                 self.close(link, CloseReason.IDLE)
 
+    def _is_delivering(self, link: ClientLink) -> bool:
+        """Whether its peer still reads what was written to it; one that reads nothing for long does not."""
+        left = link.connection.undelivered
+        if not left:
+            self._deliveries.pop(link, None)
+            return False
+        delivery = self._deliveries.get(link)
+        if delivery is None or delivery.left != left:
+            delivery = self._deliveries[link] = _Delivery(left, time.monotonic())
+        return time.monotonic() - delivery.moved_at < STALL_S
+
     @property
     def nursery(self) -> trio.Nursery:
         """For work of a link that goes on beside its reading."""
@@ -135,9 +169,14 @@
     def _idle(self) -> list[ClientLink]:
         return [p for p in self._links if self._is_idle(p)]
 
-    @staticmethod
-    def _is_idle(link: ClientLink) -> bool:
-        return not (link.busy or link.connection.unsent) and link.connection.usable
+    def _is_idle(self, link: ClientLink) -> bool:
+        """Whether nothing is owed on it, and all that was answered has been delivered.
+
+        A client sees the end of its connection only behind the answers that it has yet to read. It goes on
+        asking until then: what it asks is lost, and with it what the system still holds for it.
+        """
+        idle = not link.busy and link.connection.usable
+        return idle and not self._is_delivering(link)
 
     def _close_idlest(self) -> bool:
         """Guards clients that take long to write: one that was answered and rests loses nothing.
@@ -169,5 +208,6 @@
                 await link.connection.serve(link.feed)
         finally:
             self._links.remove(link)
+            self._deliveries.pop(link, None)
             with trio.CancelScope(shield=True), contained(log, "the end of a client's connection"):
                 await link.leave()
--- a/starlinghaven/program/fronts/http.py
+++ b/starlinghaven/program/fronts/http.py
@@ -180,6 +180,12 @@
     def ends_at(self) -> float:
         return self.since + IDLE_S
 
+    exhausted = False
+
+    def delivering(self) -> None:
+        """What was answered is still being read."""
+        self.since = time.monotonic()
+
     async def leave(self) -> None:
         exchange, self.exchange = self.exchange, None
         if exchange is not None and exchange.left is not None:
--- a/starlinghaven/program/fronts/platform.py
+++ b/starlinghaven/program/fronts/platform.py
@@ -11,7 +11,7 @@
 import trio
 
 from starlinghaven import interface as i
-from starlinghaven.program.fronts.clients import Clients, CloseReason
+from starlinghaven.program.fronts.clients import Clients
 from starlinghaven.protocol import ProtocolError, handover, platform
 from starlinghaven.routing.engine import Engine
 from starlinghaven.routing.types import Answer, Ask, Counters, Left, Result, Taken
@@ -254,8 +254,11 @@
             log.warning("no memory for an answer of %d bytes to %s", len(text), self.connection.peer)
         self._answered_at = time.monotonic()
         self.ends_at = max(self.ends_at, time.monotonic() + (WHOLE_S if self.amid else IDLE_S))
-        if len(self._used) >= TAGS_APART:
-            self._front.clients.close(self, CloseReason.TAGS)
+
+    @property
+    def exhausted(self) -> bool:
+        """Whether too many used tags have to be kept."""
+        return len(self._used) >= TAGS_APART
 
     @property
     def busy(self) -> bool:
@@ -265,6 +268,11 @@
     def rests_since(self) -> float:
         return math.inf if self.amid else self._answered_at
 
+    def delivering(self) -> None:
+        """What was answered is still being read."""
+        self._answered_at = time.monotonic()
+        self.ends_at = max(self.ends_at, self._answered_at + IDLE_S)
+
     @property
     def half_read(self) -> bytes:
         """The message that has begun to come in, as far as it was taken from the connection."""
--- a/starlinghaven/program/operations/console.py
+++ b/starlinghaven/program/operations/console.py
@@ -36,7 +36,7 @@
         self.busy = False
         self.ends_at = time.monotonic() + CALL_S
 
-    amid, rests_since = False, math.inf
+    amid, rests_since, exhausted = False, math.inf, False
 
     async def feed(self, ring: Ring) -> int:
         try:
@@ -54,6 +54,9 @@
         self.connection.write(text)
         self.connection.finish()
 
+    def delivering(self) -> None:
+        """A caller that does not read its answer has no more time for it."""
+
     async def leave(self) -> None:
         """Nothing is open between calls."""
 
--- a/starlinghaven/transport/connection.py
+++ b/starlinghaven/transport/connection.py
@@ -70,6 +70,7 @@
         self._half_closed = False
         self._dropped = 0  # bytes read and dropped since then
         self._queued = 0  # bytes that were taken to be written
+        self._written = False  # something was written to the socket, here or by another process
         self.high_water = HIGH_WATER  # bytes unsent from which nothing more is read
         self.most_unsent_s = math.inf  # that bytes may wait to be sent; older ones end the connection
         self._unsent_since = 0.0  # trio's time at which the first of them was queued
@@ -101,7 +102,9 @@
     @property
     def undelivered(self) -> int:
         """Bytes queued that the peer's system has not acknowledged, as far as this one says."""
-        return self._out.size + (0 if self.closed else undelivered_bytes(self._sock.fileno()))
+        if self.closed or not self._written:  # most of a crowd never were: no call is made for them
+            return self._out.size
+        return self._out.size + undelivered_bytes(self._sock.fileno())
 
     @property
     def queued(self) -> int:
@@ -146,6 +149,7 @@
         """
         if self.closed or self._ending:
             return False
+        self._written = True
         rest = data
         try:
             if self._out.size + len(data) > MOST_UNSENT:
@@ -258,7 +262,8 @@
         self._out.cede()
 
     def reserve(self, unread: int, unsent: int) -> None:
-        """Makes room for what is to be restored. Errors: NoMemory."""
+        """Makes room for what is to be restored from another process. Errors: NoMemory."""
+        self._written = True
         self._in.reserve(unread)
         self._out.reserve(unsent)
 
@@ -415,6 +420,7 @@
                 self._work = trio.Event()
                 await self._work.wait()
                 continue
+            undelivered = self.undelivered
             with trio.move_on_after(STALL_S) as stalled:
                 try:
                     if self.most_unsent_s < math.inf:
@@ -432,7 +438,7 @@
                         self._scope.cancel()
                         return
                     await trio.sleep(PASSING_S)
-            if stalled.cancelled_caught:
+            if stalled.cancelled_caught and self.undelivered >= undelivered:
                 self._scope.cancel()
                 return
             self._room.set()
