--- a/starlinghaven/standins/platform.py
+++ b/starlinghaven/standins/platform.py
@@ -98,6 +98,8 @@
 class Archive:
     """All stores of a small deployment. `plan` says, by object, what is answered and how late."""
 
+    weight = 6.0  # of each store, as the list tells it
+
     def __init__(self, stores: Sequence[tuple[str, str, str]] = STORES) -> None:
         self.stores = stores
         self.plan: dict[str, tuple[float, str]] = {}
@@ -216,7 +218,7 @@
     entries = [
         {
             "instanceId": store, "hostPort": archive.addresses[store], "zone": zone, "machineType": kind,
-            "cell": 0, "lifecycle": "active", "weight": 6, "startedAtMs": 0,
+            "cell": 0, "lifecycle": "active", "weight": archive.weight, "startedAtMs": 0,
         }
         for store, zone, kind in archive.stores
     ]  # fmt: skip
