--- a/starlinghaven/program/operations/operator.py
+++ b/starlinghaven/program/operations/operator.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import re
-import tomllib
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
@@ -66,6 +65,8 @@
 
 def load(path: str) -> Operator:
     """Reads the operator's file. ValueError says what is wrong with it."""
+    import tomllib  # only where there is a file: it takes some memory
+
     try:
         raw = tomllib.loads(Path(path).read_text())
         signed = raw.get("signed")
