--- a/benchmarks/crowds.py
+++ b/benchmarks/crowds.py
@@ -2,8 +2,8 @@
 
     python -m benchmarks.crowds --kinds piped-writes=100,unread=100 --memory-mb 64 [--program TREE]
 
-Starts the program of a tree, its stores and usual clients here, and the crowd in a process of its own. Prints
-one line of JSON. Not part of CI.
+Starts the program of a tree, usual clients here, and stores and crowd in processes of their own. Prints one
+line of JSON. Not part of CI.
 """
 
 from __future__ import annotations
@@ -22,7 +22,7 @@
 
 from starlinghaven.lab import crowds
 from starlinghaven.lab.process_memory import memory_of
-from starlinghaven.lab.sized_archive import SizedArchive
+from starlinghaven.lab.sized_archive import RemoteArchive
 from starlinghaven.lab.sizes import OBJECT_BYTES
 from starlinghaven.lab.soak.stage import run_command
 from starlinghaven.lab.usual import Ending, Outcome, RequestKind, UsualClient
@@ -46,7 +46,7 @@
 
 async def play(given: argparse.Namespace) -> dict[str, Any]:
     """Plays one crowd; what was measured."""
-    archive, port = SizedArchive(given.store_delay, given.large_bytes), free_port()
+    archive, port = RemoteArchive(given.store_delay, given.large_bytes), free_port()
     archive.weight = given.weight
     with tempfile.TemporaryDirectory() as name:
         folder = Path(name)
@@ -69,7 +69,7 @@
                 with trio.fail_after(10):
                     while " ready " not in (folder / "log").read_text() and process.returncode is None:
                         await trio.sleep(0.02)
-                result = await _measure(given, process, ("127.0.0.1", port), nursery, archive)
+                result = await _measure(given, process, ("127.0.0.1", port), nursery)
             finally:
                 if process.returncode is None:
                     process.terminate()
@@ -89,7 +89,6 @@
     process: trio.Process,
     address: tuple[str, int],
     nursery: trio.Nursery,
-    archive: SizedArchive,
 ) -> dict[str, Any]:
     if process.returncode is not None:
         return {"exit": process.returncode}
@@ -101,7 +100,6 @@
     await trio.sleep(LEAD_S)
     for client in usual:
         client.outcomes.clear()
-    answered = archive.answered
     crowd: Counter[str] = Counter()
     async with crowds.playing(address, given.kinds, given.seconds, given.seed) as playing:
         with trio.move_on_after(given.seconds + 5):
@@ -115,7 +113,6 @@
         "peak_mb": memory and memory.peak_mb,
         "after_mb": memory and memory.now_mb,
         "usual": {kind: _told([o for o in beside if o.kind == kind]) for kind in kinds},
-        "store_answers": archive.answered - answered,
         "crowd": crowd,
     }
 
--- a/starlinghaven/containment.py
+++ b/starlinghaven/containment.py
@@ -2,26 +2,40 @@
 
 from __future__ import annotations
 
-import contextlib
 import logging
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
+from types import TracebackType
 
 CONTAINED = "errors_contained"
 """The counter of defects that were met and contained: it stays at 0 in a sound program."""
 
 
-@contextlib.contextmanager
-def contained(
-    log: logging.Logger, purpose: str, count: Callable[[str], None] | None = None
-) -> Iterator[None]:
+class Containment:
+    """The context manager of `contained`: one lives as long as a connection, so that it is small."""
+
+    __slots__ = ("_count", "_log", "_purpose")
+
+    def __init__(self, log: logging.Logger, purpose: str, count: Callable[[str], None] | None) -> None:
+        self._log, self._purpose, self._count = log, purpose, count
+
+    def __enter__(self) -> None:
+        return None
+
+    def __exit__(
+        self, kind: type[BaseException] | None, error: BaseException | None, trace: TracebackType | None
+    ) -> bool:
+        if not isinstance(error, Exception):
+            return False
+        self._log.error("%s failed", self._purpose, exc_info=error)
+        if self._count is not None:
+            self._count(CONTAINED)
+        return True
+
+
+def contained(log: logging.Logger, purpose: str, count: Callable[[str], None] | None = None) -> Containment:
     """Logs an exception of the block with its traceback, counts it, and goes on behind the block.
 
     For a task that many depend on, round its work on one item: a connection, an event, a datagram. A
     cancellation passes, as does whatever else is no Exception.
     """
-    try:
-        yield
-    except Exception:
-        log.exception("%s failed", purpose)
-        if count is not None:
-            count(CONTAINED)
+    return Containment(log, purpose, count)
--- a/starlinghaven/decisions/load.py
+++ b/starlinghaven/decisions/load.py
@@ -105,7 +105,8 @@
         """The load at which a request is predicted to miss its aim: long ones are refused first."""
         cls = self._settings.classes[request.cls]
         limit = HEADROOM * (cls.target_ms / self.work(request) + cls.stretch)
-        return min(max(limit, LEAST_LIMIT), MOST_LIMIT) * (AGAIN if request.again else 1.0)
+        limit = min(max(limit, LEAST_LIMIT), MOST_LIMIT) * (AGAIN if request.again else 1.0)
+        return limit * request.load_share
 
     def link_full(self, request: i.Request, now: float) -> bool:
         """Whether the location's link is too full for a fill in time: a parent's copy comes over it too."""
--- a/starlinghaven/decisions/popularity.py
+++ b/starlinghaven/decisions/popularity.py
@@ -5,7 +5,6 @@
 from heapq import nlargest, nsmallest
 from random import Random
 
-COUNTS = 4096  # objects counted at most; a location's live objects fit well within
 HALVE_MS = 30_000.0  # between halvings of the counts: a proxy counts few first parts a second
 GOLD = 8  # objects in gold (T1 of the source); cooled gold keeps its rank, so few
 GOLD_EVERY_MS = 500.0  # between two rankings of the counts; ranks move slower than this
@@ -18,8 +17,9 @@
 class Popularity:
     """Counts requests per object in a bounded table that is halved now and then. Times are milliseconds."""
 
-    def __init__(self, random: Random, now: float) -> None:
-        self._random = random
+    def __init__(self, random: Random, now: float, most: int) -> None:
+        """Counts `most` objects at most."""
+        self._random, self._most = random, most
         self.counts: dict[str, float] = {}
         self.gold: dict[str, int] = {}  # object -> turn among its homes
         self._known = 0.0  # share of requests whose object was counted before, lately
@@ -44,8 +44,8 @@
 
     def _make_room(self, key: str) -> None:
         """Drops the lowest counts where the table is full; many at a time, so that the search is rare."""
-        if key not in self.counts and len(self.counts) >= COUNTS:
-            for low in nsmallest(COUNTS // 16, self.counts, key=self.counts.__getitem__):
+        if key not in self.counts and len(self.counts) >= self._most:
+            for low in nsmallest(self._most // 16 + 1, self.counts, key=self.counts.__getitem__):
                 del self.counts[low]
 
     def rank(self, key: str, hot: bool) -> int:
--- a/starlinghaven/interface.py
+++ b/starlinghaven/interface.py
@@ -211,6 +211,7 @@
     size_kb: float = 0.0
     again: bool = False
     own: Own | None = None
+    load_share: float = 1.0  # of the limit of load: less for clients that ask for much at once, in a crowd
 
 
 @dataclass(frozen=True, slots=True)
--- a/starlinghaven/plugin/grpc_client.py
+++ b/starlinghaven/plugin/grpc_client.py
@@ -16,6 +16,7 @@
 import time
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
+from functools import partial
 from typing import TYPE_CHECKING, Any
 
 import grpc
@@ -24,7 +25,8 @@
 from starlinghaven import interface as i
 from starlinghaven.containment import contained
 from starlinghaven.program.config import Config
-from starlinghaven.program.core import Core
+from starlinghaven.program.core import Core, alone
+from starlinghaven.program.memory_plan import INTERPRETER
 from starlinghaven.protocol.platform import MOST_PART, MOST_SIZE_KB, TOKEN
 from starlinghaven.protocol.uri_signing import BadToken
 from starlinghaven.routing.types import Answer, Ask, Left, Result, Taken
@@ -112,7 +114,7 @@
 
     async def _main(self) -> None:
         async with trio.open_nursery() as nursery:
-            self._core = Core(self.config, front_sockets=0)
+            self._core = Core(self.config, alone(self.config, INTERPRETER))
             self._token, self._stop = trio.lowlevel.current_trio_token(), trio.Event()
             await self._core.start(nursery)
             if self._limits is not None:
@@ -150,7 +152,7 @@
             body=wanted.body,
         )
         self._tickets.add(ticket)
-        self._post(Taken(ask, ticket))
+        self._soon(partial(self._take, ask, ticket))
 
     def ended(self, ticket: Ticket) -> None:
         """Its call has ended, in whatever way."""
@@ -160,21 +162,31 @@
         """The caller has left. Nothing is to be done where the engine has ended already."""
         ticket.left = True
         with contextlib.suppress(trio.RunFinishedError):
-            self._post(Left(ticket))
-
-    def _post(self, event: Taken | Left) -> None:
-        """Events of one call keep their order: they go through one queue. A full one refuses the call."""
-
-        def soon() -> None:
-            try:
-                self._send.send_nowait(event)
-            except trio.WouldBlock:
-                if isinstance(event, Taken):
-                    wait = self.config.settings.pushback_ms
-                    event.ticket.answer(Answer(Result.REFUSED, wait_ms=wait))
+            self._soon(partial(self._queue, Left(ticket)))
 
+    def _soon(self, call: Callable[[], object]) -> None:
+        """Has something done in the engine's thread, in order."""
         assert self._token is not None
-        self._token.run_sync_soon(soon)
+        self._token.run_sync_soon(call)
+
+    def _take(self, ask: Ask, ticket: Ticket) -> None:
+        """Posts a call, if there is room for it: a call holds nothing before that but its caller's thread."""
+        assert self._core is not None
+        admission = self._core.engine.admit(ask, ticket)
+        if admission is not None:
+            taken = Taken(ask, ticket, admission.held)
+            if self._queue(taken):
+                return
+            self._core.engine.withdraw(taken)
+        ticket.answer(Answer(Result.REFUSED, wait_ms=self.config.settings.pushback_ms))
+
+    def _queue(self, event: Taken | Left) -> bool:
+        """Events of one call keep their order: they go through one queue. Whether there was room in it."""
+        try:
+            self._send.send_nowait(event)
+        except trio.WouldBlock:
+            return False
+        return True
 
     async def _pump(self, receive: trio.MemoryReceiveChannel[Taken | Left], core: Core) -> None:
         async for event in receive:
@@ -193,6 +205,9 @@
         self._call = call
         self.left = False  # set by the caller's thread, ahead of the event in the queue
 
+    held = 0  # as an asker: the plug-in's calls are all its application's
+    alone = False
+
     def answer(self, answer: Answer) -> None:
         self._call.answered(answer)
 
--- a/starlinghaven/program/caches.py
+++ b/starlinghaven/program/caches.py
@@ -14,9 +14,9 @@
 from starlinghaven.routing.backlog import note_wait
 from starlinghaven.routing.engine import Engine
 from starlinghaven.routing.types import Attempt, Counters, Ended
-from starlinghaven.transport.connection import Connection
+from starlinghaven.transport.connection import Connection, ConnectionAccounts
 from starlinghaven.transport.pool import WHOLE_S, DialFailed, Link, Pool
-from starlinghaven.transport.ring import Memory, Ring
+from starlinghaven.transport.ring import READ, Ring
 
 log = logging.getLogger(__name__)
 
@@ -58,20 +58,33 @@
 
     async def feed(self, ring: Ring) -> int:  # type: ignore[override]
         try:
-            while (words := self._reader.next(ring)) is not None:
+            while (said := self._next(ring)) is not None:
                 self.reads(amid=False)
-                await self._said(caches.parse(words))
+                await self._said(said)
         except ProtocolError as error:
             log.warning("store %s sent what is no answer: %s", self.address, error)
             self._engine.counters.add("bad_answers")
             self.connection.abort()
-        self.reads(self._reader.amid or ring.size > 0)
+        self.reads(ring.size > 0)
         return self._reader.wanted
 
+    def _next(self, ring: Ring) -> caches.Said | None:
+        """The next answer; the memory of its body is taken as the ring gives back that of the message."""
+        answers = self._engine.accounts.answers
+        with answers.memory.uninterrupted():
+            if (words := self._reader.next(ring)) is None:
+                return None
+            said = caches.parse(words)
+            if len(said.body) > READ:
+                ring.fit()
+            answers.take_always(len(said.body))
+        return said
+
     async def _said(self, said: caches.Said) -> None:
         held = self.out.pop(said.id, None)
-        if held is None:
-            return  # dropped or answered before: an id is written once on a connection
+        if held is None:  # dropped or answered before: an id is written once on a connection
+            self._engine.accounts.answers.give(len(said.body))
+            return
         attempt = held.attempt
         del self._where[attempt]
         self.done()
@@ -87,6 +100,7 @@
                 attempt,
                 code,
                 said.body,
+                held=len(said.body),
                 unchanged=said.word == "still_good",
                 tag=said.rev,
                 since_ms=said.since_ms,
@@ -139,7 +153,7 @@
         self,
         engine: Engine,
         classes: Sequence[str],
-        memory: Memory,
+        accounts: ConnectionAccounts,
         counters: Counters,
         *,
         dial_s: float,
@@ -152,7 +166,7 @@
         self._where: Where = {}
         self.pool: Pool[CacheLink] = Pool(
             lambda place, connection: CacheLink(connection, engine, place[1], self._where),
-            memory,
+            accounts,
             dial_s=dial_s,
             streams=streams,
             idle_s=idle_s,
@@ -214,13 +228,19 @@
         """
         text = self._text(a)
         if self._engine.clock.now() - decided_ms > DECISION_STANDS_MS:
-            assert self._nursery is not None
-            self._counters.add("not_begun_stall")
-            self._where.pop(a, None)
-            self._nursery.start_soon(self._engine.post, Ended(a, i.Code.MOOT))
-            return
-        self._counters.add("written")
-        link.carry(a, text)
+            self._do_not_begin(a, "stall")
+        elif not link.connection.has_room(len(text)):
+            self._do_not_begin(a, "memory")
+        else:
+            self._counters.add("written")
+            link.carry(a, text)
+
+    def _do_not_begin(self, a: Attempt, reason: str) -> None:
+        """Lets the engine decide anew: nothing was written."""
+        assert self._nursery is not None
+        self._counters.add(f"not_begun_{reason}")
+        self._where.pop(a, None)
+        self._nursery.start_soon(self._engine.post, Ended(a, i.Code.MOOT))
 
     def _text(self, a: Attempt) -> bytes:
         ask = a.ask
--- a/starlinghaven/program/changelog.py
+++ b/starlinghaven/program/changelog.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 
 import trio
 
 from starlinghaven import interface as i
 from starlinghaven.containment import CONTAINED
+from starlinghaven.memory import NoMemory
 from starlinghaven.protocol import ProtocolError, changelog
 from starlinghaven.routing.engine import Engine
 from starlinghaven.routing.types import (
@@ -20,9 +21,9 @@
     PurgeNews,
     Store,
 )
-from starlinghaven.transport.connection import Connection
+from starlinghaven.transport.connection import Connection, ConnectionAccounts
 from starlinghaven.transport.listener import split_address
-from starlinghaven.transport.ring import Memory, NoMemory, Ring
+from starlinghaven.transport.ring import Ring
 
 log = logging.getLogger(__name__)
 
@@ -48,12 +49,19 @@
     return FleetNews(i.ListKind.PERSISTED if first else kind, stores)
 
 
+def listed(known: Iterable[tuple[int, changelog.News]]) -> set[str]:
+    """The stores that a configuration's events list, be they gone since."""
+    return {r.id for _, news in known if isinstance(news, changelog.Fleet) for r in news.records}
+
+
 class ChangeLog:
     """Keeps one connection to the change log. Nothing waits for it."""
 
-    def __init__(self, address: str, last: int, engine: Engine, memory: Memory, counters: Counters) -> None:
+    def __init__(
+        self, address: str, last: int, engine: Engine, accounts: ConnectionAccounts, counters: Counters
+    ) -> None:
         self._address, self.last = address, last
-        self._engine, self._memory, self._counters = engine, memory, counters
+        self._engine, self._accounts, self._counters = engine, accounts, counters
         self._moved = trio.CancelScope()
         self._asked_again_after: int | None = None  # the last event when a number that skips was refused
         self._progress = changelog.Progress(engine.clock.now())
@@ -123,7 +131,7 @@
                 await sock.connect(split_address(self._address))
             if dialing.cancelled_caught:
                 raise OSError("no connection in time")
-            connection = Connection(sock, self._memory)
+            connection = Connection(sock, self._accounts)
         except BaseException:
             sock.close()
             raise
--- a/starlinghaven/program/core.py
+++ b/starlinghaven/program/core.py
@@ -7,52 +7,62 @@
 
 import trio
 
+from starlinghaven.decisions.table_sizes import TableSizes
 from starlinghaven.program import changelog, config
 from starlinghaven.program.caches import Caches
+from starlinghaven.program.memory_plan import Accounts, Demand, divide
 from starlinghaven.routing.clock import Clock
 from starlinghaven.routing.copies import Copies
 from starlinghaven.routing.engine import Engine
 from starlinghaven.routing.types import Counters, NewsRequired
 from starlinghaven.transport import arrivals
-from starlinghaven.transport.ring import Memory
 
-RINGS = 0.35  # part of the memory limit that rings may hold; the rest is the interpreter's and answers'
-COPIES = 0.125  # part of the memory limit for copies of its own, at most
-PROCESS = 24 * 1024 * 1024  # bytes that a process holds beside rings and copies
 RESERVE = 32  # descriptors for files, the change log, balancers' checks and what the system wants
 STORES_LEAST = 8  # part of all descriptors that stores have at least, one in so many
 
 
+def keeps_copies(cfg: config.Config) -> bool:
+    """Whether the platform allows copies of its own."""
+    return cfg.flow > 0 and cfg.link > 0
+
+
+def store_places(cfg: config.Config, front_sockets: int) -> int:
+    """Connections to stores that the descriptors allow. In an upgrade two processes share them."""
+    processes = 2 if cfg.passed is not None else 1
+    return max((cfg.sockets - RESERVE - front_sockets) // processes, cfg.sockets // STORES_LEAST)
+
+
 class Core:
     """Everything but the fronts. Made inside trio's loop."""
 
-    def __init__(self, cfg: config.Config, front_sockets: int, tells: bool = False) -> None:
-        self.cfg = cfg
+    def __init__(self, cfg: config.Config, accounts: Accounts, tells: bool = False) -> None:
+        self.cfg, self.accounts = cfg, accounts
         self.counters = Counters()
-        # Guards the limits in an upgrade: for a while two processes share what is allowed to one.
-        processes = 2 if cfg.passed is not None else 1
-        rings = int(cfg.memory_bytes * RINGS)
-        self.memory = Memory(rings // processes, most=rings)
         clock, copies = Clock(), None
-        if cfg.flow > 0 and cfg.link > 0:  # else the platform allows no copies of its own
-            spare = max(cfg.memory_bytes / processes - PROCESS, 0) / 2
-            limit = int(min(cfg.memory_bytes * COPIES, spare))
-            cleared_ms = cfg.settings.purge_done_ms or math.inf  # 0: the settings promise nothing
-            copies = Copies(limit, cfg.flow, cfg.link, clock, cleared_ms)
+        sizes = TableSizes.within(accounts.memory.account("tables").limit)
+        if keeps_copies(cfg):
+            copies = Copies(
+                accounts.memory.account("copies"),
+                cfg.flow,
+                cfg.link,
+                clock,
+                cleared_within_ms=cfg.settings.purge_done_ms or math.inf,  # 0: the settings promise nothing
+                most_purges=sizes.own_purges,
+            )
         settings = replace(cfg.settings, tells=tells)
-        self.engine = Engine(settings, cfg.seed, clock, self.counters, copies)
+        self.engine = Engine(settings, cfg.seed, clock, self.counters, copies, accounts.engine, sizes)
         self.caches = Caches(
             self.engine,
             cfg.classes,
-            self.memory,
+            accounts.stores,
             self.counters,
             dial_s=cfg.dial_s,
             streams=cfg.streams,
             idle_s=cfg.idle_s,
-            most=max((cfg.sockets - RESERVE - front_sockets) // processes, cfg.sockets // STORES_LEAST),
+            most=accounts.store_places,
             whole_s=max(c.give_up_ms for c in cfg.settings.classes) / 1000,
         )
-        self.log = changelog.ChangeLog(cfg.log_address, cfg.last, self.engine, self.memory, self.counters)
+        self.log = changelog.ChangeLog(cfg.log_address, cfg.last, self.engine, accounts.news, self.counters)
 
     async def start(self, nursery: trio.Nursery) -> None:
         """Starts the tasks. The fleet known at the start is in the queue when this returns."""
@@ -72,3 +82,24 @@
         if cfg.log_address:
             await self.engine.post(NewsRequired())
         self.log.move(cfg.log_address)
+
+
+def demand(
+    cfg: config.Config, client_places: int, fronts: dict[str, int] | None = None, tables: int = 0
+) -> Demand:
+    """What a process with these fronts beside the core needs memory for; `fronts` has places by name."""
+    others = fronts or {}
+    return Demand(
+        client_places=client_places,
+        store_places=store_places(cfg, client_places + sum(others.values())),
+        stores=len(changelog.listed(cfg.known)),
+        copies=keeps_copies(cfg),
+        upgrades=cfg.passed is not None,
+        fronts=others,
+        tables=tables,
+    )
+
+
+def alone(cfg: config.Config, base: int) -> Accounts:
+    """The accounts of a core without fronts in a process that holds `base` bytes besides."""
+    return divide(cfg.memory_bytes, base, demand(cfg, client_places=0))
--- a/starlinghaven/program/daemon.py
+++ b/starlinghaven/program/daemon.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import gc
+import importlib
 import logging
 import os
 import secrets
@@ -15,15 +16,17 @@
 import trio
 
 from starlinghaven.containment import contained
-from starlinghaven.program import config, logs
-from starlinghaven.program.core import Core
+from starlinghaven.program import allocator, config, logs
+from starlinghaven.program.core import Core, demand
 from starlinghaven.program.fronts.clients import ClientLink, Clients, CloseReason
 from starlinghaven.program.fronts.giver import Giver, give
 from starlinghaven.program.fronts.platform import PlatformFront
-from starlinghaven.program.fronts.taker import Door
+from starlinghaven.program.fronts.taker import Door, HandoverAccounts
+from starlinghaven.program.memory_plan import Accounts, TooLittleMemory, divide, resident
 from starlinghaven.program.operations import operator
 from starlinghaven.program.operations.console import PLACES, Console
 from starlinghaven.program.operations.handover import Handover
+from starlinghaven.program.operations.memory_report import MemoryReport
 from starlinghaven.program.signals import held
 from starlinghaven.protocol import platform
 from starlinghaven.transport.listener import LINGERING, Listener
@@ -46,27 +49,59 @@
 STATES = {"ready": platform.READY, "draining": platform.DRAIN, "stopped": platform.UNREADY}
 
 
+def load_parts(options: operator.Operator) -> None:
+    """Loads what is switched on, ahead of the moment at which the program's own memory is measured."""
+    modules = {
+        "starlinghaven.program.fronts.admission": bool(options.admission),
+        "starlinghaven.program.fronts.signed": options.signed is not None,
+        "starlinghaven.program.operations.health": bool(options.health or options.agent),
+        "starlinghaven.program.fleet": options.fleet,
+    }
+    for name, switched_on in modules.items():
+        if switched_on:
+            importlib.import_module(name)
+
+
+def divided(cfg: config.Config, options: operator.Operator, base: int) -> Accounts:
+    """The accounts of one edge proxy in a process that holds `base` bytes. Errors: TooLittleMemory."""
+    fronts = {}
+    if options.signed:
+        fronts["signed"] = options.signed.connections + LINGERING
+    if options.health:
+        fronts["health"] = CHECKS + LINGERING
+    if options.agent:
+        fronts["agent"] = CHECKS + LINGERING
+    if cfg.console:
+        fronts["console"] = PLACES + LINGERING
+    clients = cfg.sockets // 2  # usual ones hold a third of all at most; the rest is for the others
+    return divide(cfg.memory_bytes, base, demand(cfg, clients + LINGERING, fronts))
+
+
 class Daemon:
     """One edge proxy."""
 
-    def __init__(self, cfg: config.Config, options: operator.Operator) -> None:
-        clients = cfg.sockets // 2  # usual ones hold a third of all at most; the rest is for the others
-        places = [clients, options.signed.connections if options.signed else 0]
-        places += [CHECKS for switched_on in (options.health, options.agent) if switched_on]
-        places += [PLACES] if cfg.console else []
-        fronts = sum(n + LINGERING for n in places if n)
-        core = self.core = Core(cfg, fronts, tells=options.fleet and bool(cfg.peer_listen))
+    def __init__(self, cfg: config.Config, options: operator.Operator, accounts: Accounts) -> None:
+        core = self.core = Core(cfg, accounts, tells=options.fleet and bool(cfg.peer_listen))
         self.engine, self.counters = core.engine, core.counters
+        self.memory_report = MemoryReport(accounts.memory)
+        clients = accounts.client_places - LINGERING
         self.gate: AdmissionGate | None = None
         if options.admission:
             from starlinghaven.admission import settings as admitting
             from starlinghaven.program.fronts.admission import AdmissionGate
 
             self.gate = AdmissionGate(admitting.load(options.admission), clients, core.counters)
-        self._listeners = [Listener(cfg.listen, core.memory, clients, cfg.passed, gate=self.gate)]
+        self._listeners = [Listener(cfg.listen, accounts.clients, clients, cfg.passed, gate=self.gate)]
         self.handover = Handover(cfg.folder)
         self.front = PlatformFront(
-            core.engine, cfg.settings, cfg.classes, self.state, self._listeners[0], core.counters
+            core.engine,
+            cfg.settings,
+            cfg.classes,
+            self.state,
+            self._listeners[0],
+            core.counters,
+            answers=accounts.clients.output,
+            tags=accounts.memory.account("tags"),
         )
         if self.gate is not None:
             self.front.served = self.gate.served
@@ -87,11 +122,12 @@
             self.signed = SignedFront(
                 options.signed, core.engine, cfg.settings, cfg.classes, core.counters, _new_id
             )
-            self._serve_http(options.signed.listen, options.signed.connections, self.signed.handle)
+            connections = options.signed.connections
+            self._serve_http(options.signed.listen, "signed", connections, self.signed.handle)
         if self.health and options.health:
-            self._serve_http(options.health, CHECKS, self.health.http)
+            self._serve_http(options.health, "health", CHECKS, self.health.http)
         if options.agent:
-            self._agent = self._listener(options.agent, CHECKS)
+            self._agent = self._listener(options.agent, "agent", CHECKS)
             self._listeners.append(self._agent)
         self.fleet: Fleet | None = None
         if options.fleet and cfg.peer_listen:
@@ -109,9 +145,15 @@
             self.fleet = Fleet(cfg, core.engine, core.counters, bounds, spread)
         self.console: Console | None = None
         if cfg.console:
-            self._listeners.append(Listener(cfg.console, core.memory, PLACES))
+            self._listeners.append(Listener(cfg.console, accounts.front("console"), PLACES))
             self.console = Console(
-                self._listeners[-1], core.engine, cfg.classes, core.counters, self.handover, self.fleet
+                self._listeners[-1],
+                core.engine,
+                cfg.classes,
+                core.counters,
+                self.handover,
+                self.memory_report,
+                self.fleet,
             )
 
     def _places(self) -> tuple[int, int]:
@@ -129,15 +171,17 @@
         total = sum((clients.closed for clients in self._clients), Counter[CloseReason]())
         return " ".join(f"closed_{reason}={n}" for reason, n in sorted(total.items()))
 
-    def _listener(self, address: str, most: int) -> Listener:
+    def _listener(self, address: str, name: str, most: int) -> Listener:
         """One of an operator's addresses: both processes of an upgrade listen there for a while."""
-        return Listener(address, self.core.memory, most, shared=self.core.cfg.passed is not None)
+        accounts = self.core.accounts.front(name)
+        return Listener(address, accounts, most, shared=self.core.cfg.passed is not None)
 
-    def _serve_http(self, listen: str, most: int, handle: Handle) -> None:
+    def _serve_http(self, listen: str, name: str, most: int, handle: Handle) -> None:
         from starlinghaven.program.fronts.http import HttpServer
 
-        self._listeners.append(self._listener(listen, most))
-        self.servers.append(HttpServer(self._listeners[-1], handle, self.counters))
+        self._listeners.append(self._listener(listen, name, most))
+        input = self.core.accounts.front(name).input
+        self.servers.append(HttpServer(self._listeners[-1], handle, self.counters, input))
 
     def state(self) -> bytes:
         return STATES[self.engine.state]
@@ -153,6 +197,7 @@
                 for listener in self._listeners:
                     await listener.open()
                 nursery.start_soon(self.handover.run, self.engine)
+                nursery.start_soon(self.memory_report.run)
                 for clients in self._clients:
                     await nursery.start(clients.run)
                 if self.fleet:
@@ -177,12 +222,18 @@
                 if self.fleet:
                     self.fleet.leave()
                 nursery.cancel_scope.cancel()
-        log.info("counters %s %s", self.counters.line(), self._closed())
+        self._log_figures()
         log.info("stopped")
 
+    def _log_figures(self) -> None:
+        log.info("counters %s %s", self.counters.line(), self._closed())
+        log.info("memory %s", self.memory_report.line())
+
     async def _open_door(self, nursery: trio.Nursery, path: str) -> None:
         """Lets an older process hand its clients over. Without a door it closes them as they fall idle."""
-        door = Door(path, self.core.memory, self.front)
+        accounts = self.core.accounts
+        handover = HandoverAccounts(accounts.clients, accounts.memory.account("handover"))
+        door = Door(path, handover, self.front)
         try:
             await door.open()
         except OSError as error:
@@ -203,7 +254,7 @@
 
     async def _act(self, number: int, terminate: trio.Event) -> None:
         if number == signal.SIGUSR1:
-            log.info("counters %s %s", self.counters.line(), self._closed())
+            self._log_figures()
         elif terminate.is_set():
             self.counters.add("signals_passed_over")
             log.info("signal %d passed over: draining already", number)
@@ -262,7 +313,8 @@
         log.info("leaving the clients to a successor")
         for server in self.servers:
             leaving.start_soon(server.clients.retire)
-        giver = await give(path, self.core.memory, self.front) if path else None
+        account = self.core.accounts.memory.account("handover")
+        giver = await give(path, account, self.front) if path else None
         if giver is None:
             with trio.move_on_after(WINDOW_S):
                 await self.front.clients.retire()
@@ -305,15 +357,21 @@
 
 
 async def serve(cfg: config.Config, options: operator.Operator) -> None:
-    await Daemon(cfg, options).run()
+    accounts = divided(cfg, options, resident())
+    takes_all = cfg.passed is not None and not accounts.beside_another
+    if takes_all and Handover(cfg.folder).successor() is not None:
+        raise TooLittleMemory("memory_mb: too little for this process beside the one that serves")
+    allocator.collect_often(accounts.memory.limit)
+    await Daemon(cfg, options, accounts).run()
 
 
 def main() -> int:
     logs.start()
-    gc.set_threshold(20_000, 20, 50)
+    allocator.give_back_early()
     try:
         path = os.environ.get(operator.VARIABLE)
         options = operator.load(path) if path else operator.Operator()
+        load_parts(options)
         trio.run(serve, config.load(os.environ), options)
     except (config.ConfigError, ValueError, OSError) as error:
         print(f"starlinghaven: {error}", file=sys.stderr)
--- a/starlinghaven/program/fronts/clients.py
+++ b/starlinghaven/program/fronts/clients.py
@@ -93,7 +93,11 @@
         """Serves clients until cancelled; started once connections can be adopted."""
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
-            await nursery.start(self._listener.run, self._serve, self._close_idlest)
+            await nursery.start(
+                self._listener.run,
+                lambda connection: self._hold(self._make(connection)),
+                self._close_idlest,
+            )
             task_status.started()
             while True:
                 await trio.sleep(SWEEP_S)
@@ -160,11 +164,7 @@
 
     def adopt(self, link: ClientLink) -> None:
         """Serves a connection that another process accepted."""
-
-        async def serve(_: Connection) -> None:
-            await self._hold(link)
-
-        self._listener.adopt(link.connection, serve)
+        self._listener.adopt(link.connection, lambda _: self._hold(link))
 
     def _idle(self) -> list[ClientLink]:
         return [p for p in self._links if self._is_idle(p)]
@@ -197,9 +197,6 @@
                 return True
         return False
 
-    async def _serve(self, connection: Connection) -> None:
-        await self._hold(self._make(connection))
-
     async def _hold(self, link: ClientLink) -> None:
         """Serves a connection to its end."""
         self._links.add(link)
--- a/starlinghaven/program/fronts/giver.py
+++ b/starlinghaven/program/fronts/giver.py
@@ -17,12 +17,13 @@
 import trio
 
 from starlinghaven.containment import contained
+from starlinghaven.memory import Account, NoMemory
 from starlinghaven.program.fronts.handed_socket import HandedSocket
 from starlinghaven.program.fronts.platform import Client, PlatformFront
 from starlinghaven.protocol import handover, platform
 from starlinghaven.transport import sockets
 from starlinghaven.transport.channel import Channel
-from starlinghaven.transport.ring import Memory, NoMemory, Ring
+from starlinghaven.transport.ring import Ring
 
 log = logging.getLogger(__name__)
 
@@ -33,8 +34,9 @@
 class Giver:
     """The older process's end: gives connections away, and the answers that it still owes on them."""
 
-    def __init__(self, sock: trio.socket.SocketType, memory: Memory, front: PlatformFront) -> None:
-        self._channel = Channel(sock, memory, handover.PIECE_BYTES)
+    def __init__(self, sock: trio.socket.SocketType, account: Account, front: PlatformFront) -> None:
+        """`account` has the memory for what passes between the processes."""
+        self._channel = Channel(sock, account)
         self._counters = front.counters
         self._reader = handover.FrameReader()
         self._clients: dict[int, Client] = {}  # handed over, with answers still to come from here
@@ -199,16 +201,13 @@
 def _contents(number: int, client: Client) -> Iterator[handover.Frame]:
     """What a connection holds, in pieces, in the order in which it came in or is to go out."""
     connection, size = client.connection, handover.PIECE_BYTES
-    begun = client.half_read
-    for at in range(0, len(begun), size):
-        yield handover.Unread(number, begun[at : at + size])
     for piece in connection.unread_pieces(size):
         yield handover.Unread(number, piece)
     for piece in connection.unsent_pieces(size):
         yield handover.Unsent(number, piece)
 
 
-async def give(path: str, memory: Memory, front: PlatformFront) -> Giver | None:
+async def give(path: str, account: Account, front: PlatformFront) -> Giver | None:
     """The way to the process whose door is at `path`, or None if nobody opens."""
     try:
         sock = await sockets.obtained(
@@ -220,7 +219,7 @@
     try:
         with trio.fail_after(DIAL_S):
             await sock.connect(path)
-        return Giver(sock, memory, front)
+        return Giver(sock, account, front)
     except (OSError, trio.TooSlowError) as error:
         sock.close()
         log.warning("clients can't be handed over: %s", error)
--- a/starlinghaven/program/fronts/http.py
+++ b/starlinghaven/program/fronts/http.py
@@ -12,6 +12,7 @@
 import h11
 
 from starlinghaven.containment import CONTAINED
+from starlinghaven.memory import Account
 from starlinghaven.program.fronts.clients import Clients
 from starlinghaven.routing.types import Counters
 from starlinghaven.transport.connection import Connection
@@ -22,6 +23,7 @@
 
 MOST_HEAD = 8 * 1024  # bytes of a request line with its fields
 MOST_BODY = 64 * 1024  # bytes of a request's body
+MOST_RESPONSE_HEAD = 1024  # bytes of a response beside its body
 MOST_AHEAD = 64 * 1024  # bytes that a client may send ahead while its request is at work
 IDLE_S = 15.0  # seconds that a client may take for a whole request, or stay idle
 
@@ -53,6 +55,9 @@
         """Whether its client has left, be that read or not."""
         return self._client.exchange is not self or self._client.connection.hung_up
 
+    held = 0  # as an asker: one request of a connection is open at a time
+    alone = True
+
     def unread_for_s(self) -> float:
         """Seconds that the request may have waited in the system's buffers, at most."""
         return self._client.connection.unread_for_s()
@@ -74,17 +79,35 @@
         self._head: h11.Request | None = None
         self._body = bytearray()
         self._ahead = 0
+        self._held = 0  # bytes of the budget for what came in and belongs to no answered request
         self.exchange: Exchange | None = None
         self.since = time.monotonic()  # when it became idle
 
     async def feed(self, ring: Ring) -> int:
         self._ahead = self._ahead + ring.size if self.exchange else 0
-        if self._ahead > MOST_AHEAD:
+        if self._ahead > MOST_AHEAD or not self._hold(ring.size):
             self.connection.abort()
+            return 1
         self._h11.receive_data(ring.take(ring.size))
         await self._read()
         return 1
 
+    def _hold(self, size: int) -> bool:
+        """Takes memory for what came in and leaves the ring; whether there is any."""
+        account = self._server.input
+        if not account.allows(size, account.reserve if self._held else 0):
+            account.refuse()
+            return False
+        account.take_always(size)
+        self._held += size
+        return True
+
+    def _let_go(self) -> None:
+        """Gives back the memory of all but what was sent ahead."""
+        ahead = min(len(self._h11.trailing_data[0]), self._held)
+        self._server.input.give(self._held - ahead)
+        self._held = ahead
+
     async def _read(self) -> None:
         try:
             while self.exchange is None and not self.connection.closed:
@@ -124,6 +147,8 @@
         self._write(HttpResponse(status), close=True)
 
     def _write(self, response: HttpResponse, close: bool = False) -> None:
+        if not self.connection.has_room(MOST_RESPONSE_HEAD + len(response.body)):
+            response = HttpResponse(HTTPStatus.SERVICE_UNAVAILABLE, headers=[("retry-after", "1")])
         head = self._head is not None and self._head.method == b"HEAD"
         headers = [("content-length", str(len(response.body))), *response.headers]
         if response.status == HTTPStatus.NOT_MODIFIED:
@@ -133,11 +158,11 @@
         try:
             reason = HTTPStatus(response.status).phrase.encode()
             start = h11.Response(status_code=response.status, headers=headers, reason=reason)
-            data = self._h11.send(start) or b""
+            pieces = [self._h11.send(start) or b""]
             if response.body and not head:
-                data += self._h11.send(h11.Data(response.body)) or b""
-            data += self._h11.send(h11.EndOfMessage()) or b""
-            self.connection.write(data)
+                pieces.append(self._h11.send(h11.Data(response.body)) or b"")
+            pieces.append(self._h11.send(h11.EndOfMessage()) or b"")
+            self.connection.write(*pieces)
         except h11.LocalProtocolError as error:
             log.info("no answer possible: %s", type(error).__name__)
             close = True
@@ -150,6 +175,8 @@
         self.exchange, self.since = None, time.monotonic()
         self._server.counters.add(f"http_{response.status}")
         self._write(response)
+        self._head, self._body = None, bytearray()
+        self._let_go()
         if self._h11.our_state is h11.DONE and self._h11.their_state is h11.DONE:
             self._h11.start_next_cycle()
             if self._h11.trailing_data[0]:
@@ -187,6 +214,8 @@
         self.since = time.monotonic()
 
     async def leave(self) -> None:
+        self._server.input.give(self._held)
+        self._held = 0
         exchange, self.exchange = self.exchange, None
         if exchange is not None and exchange.left is not None:
             await exchange.left()
@@ -195,8 +224,9 @@
 class HttpServer:
     """Takes HTTP requests through a listener and has them handled."""
 
-    def __init__(self, listener: Listener, handle: Handle, counters: Counters) -> None:
-        self.handle, self.counters = handle, counters
+    def __init__(self, listener: Listener, handle: Handle, counters: Counters, input: Account) -> None:
+        """`input` has the memory for requests that are read."""
+        self.handle, self.counters, self.input = handle, counters, input
         self.clients = Clients(listener, lambda connection: HttpClient(self, connection))
 
     def soon(self, call: Callable[[], Awaitable[None]]) -> None:
--- a/starlinghaven/program/fronts/platform.py
+++ b/starlinghaven/program/fronts/platform.py
@@ -11,7 +11,9 @@
 import trio
 
 from starlinghaven import interface as i
+from starlinghaven.memory import Account, NoMemory
 from starlinghaven.program.fronts.clients import Clients
+from starlinghaven.program.fronts.used_tags import UsedTags
 from starlinghaven.protocol import ProtocolError, handover, platform
 from starlinghaven.protocol.unread import UnreadCancels
 from starlinghaven.routing.engine import Engine
@@ -27,9 +29,8 @@
 SHUN_S = 1.0  # seconds for which a connection that broke the protocol is kept unread before its end
 OFFER_AGAIN_S = 0.05  # seconds between two offers of connections to a successor
 MOST_BAD = 8  # calls that can't be used on a connection, with which it is at its end
-TAGS_APART = 4_096  # used tags kept one by one, from which a connection is closed once nothing is open
 SLACK = 4.0  # times a class's give-up time up to which times to wait and to send are usual
-MOST_TAGS_APART = 4 * TAGS_APART  # ... and at which it is closed in any case
+SHORT_ANSWERS = 4 * 1024  # bytes unsent up to which a connection may use all memory for answers
 
 
 class Relay(Protocol):
@@ -60,8 +61,11 @@
 class _Ticket:
     """One request of a client's connection."""
 
-    def __init__(self, client: Client, tag: int, id: str) -> None:
-        self._client, self._tag, self.id = client, tag, id
+    __slots__ = ("_client", "_tag", "held", "id")
+
+    def __init__(self, client: Client, tag: int, id: str, held: int) -> None:
+        """`held`: bytes of the budget that it holds."""
+        self._client, self._tag, self.id, self.held = client, tag, id, held
 
     @property
     def left(self) -> bool:
@@ -74,36 +78,45 @@
                 text = platform.served(self._tag, answer.body)
                 self._client.completed()
             case Result.UNCHANGED:
-                text = platform.unchanged(self._tag)
+                text = (platform.unchanged(self._tag),)
                 self._client.completed()
             case Result.REFUSED:
-                text = platform.refused(self._tag, answer.wait_ms)
+                text = (platform.refused(self._tag, answer.wait_ms),)
             case Result.FAILED:
-                text = platform.failed(self._tag)
+                text = (platform.failed(self._tag),)
         self._client.closes(self._tag, text)
 
 
+Text = tuple[bytes, ...]
+"""An answer as it is written, in pieces."""
+
+
 class Client:
     """One connection: its tags, and the requests open on it."""
 
+    __slots__ = (
+        *("_answered_at", "_bad", "_cancels", "_fresh", "_front", "_held", "_offered_to", "_reader"),
+        *("_tags", "amid", "connection", "ends_at", "held", "lender", "lent", "number", "open", "relay"),
+    )
+
     def __init__(self, front: PlatformFront, connection: Connection) -> None:
         self.connection, self._front = connection, front
         connection.high_water = MOST_UNSENT  # a cancel may lie behind answers that are not read
         self._reader = platform.reader()
-        self._used_to = 0  # all tags up to this one have been used
-        self._used: set[int] = set()  # those used above it
+        self._tags = UsedTags(front.tags)
         self._bad = 0  # calls that could not be used
         self.open: dict[int, _Ticket] = {}
+        self.held = 0  # bytes of the budget that those hold
         self.relay: Relay | None = None  # where answers go, once another process has the connection
         self._offered_to: Relay | None = None  # while another process may have it already
         self.number = 0  # of the connection on that way
-        self._held: list[tuple[int, bytes]] | None = None  # answers that came while it is handed over
-        self.lent: set[int] = set()  # tags that an older process still answers
+        self._held: list[tuple[int, Text]] | None = None  # answers that came while it is handed over
+        self.lent: set[int] | None = None  # tags that an older process still answers
         self.lender: Lender | None = None
         self.ends_at = time.monotonic() + WHOLE_S
         self._answered_at = math.inf
         self.amid = False  # a message has begun
-        self._cancels = UnreadCancels()
+        self._cancels: UnreadCancels | None = None  # found in unread input, once that was looked through
         self._fresh: list[Taken] = []  # taken from what came in just now, not told to the engine yet
 
     async def feed(self, ring: Ring) -> int:
@@ -115,6 +128,8 @@
         except ProtocolError as error:
             self._front.counters.add("bad_input")
             log.info("client closed for bad input: %s", error)
+            for taken in self._fresh:
+                self._front.engine.withdraw(taken)
             self._fresh.clear()
             await self.leave()
             self.connection.shun(SHUN_S)
@@ -122,7 +137,7 @@
         fresh, self._fresh = self._fresh, []
         for taken in fresh:
             await self._front.engine.post(taken)
-        amid = self._reader.amid or ring.size > 0
+        amid = ring.size > 0
         if whole or amid and not self.amid:
             self.ends_at = time.monotonic() + (WHOLE_S if amid else IDLE_S)
         self.amid = amid
@@ -132,7 +147,7 @@
         """Answers a call that can't be used; nothing of it is sent on."""
         self._front.counters.add("bad_input")
         log.info("call failed for bad input: %s", why)
-        self.connection.write(platform.failed(tag))
+        self._write_short(platform.failed(tag))
         self._bad += 1
         if self._bad >= MOST_BAD:
             raise ProtocolError("too many calls that can't be used")
@@ -141,31 +156,60 @@
         try:
             message = platform.parse(words)
         except platform.BadCall as bad:
-            self._new_tag(bad.tag)
+            self._tags.use(bad.tag)
             return self._fail(bad.tag, bad)
         match message:
             case platform.Cancel():
                 await self.withdraw(message.tag)
             case platform.Health():
-                self._new_tag(message.tag)
-                self.connection.write(platform.health(message.tag, self._front.state()))
+                self._tags.use(message.tag)
+                self._write_short(platform.health(message.tag, self._front.state()))
             case platform.Call():
-                self._new_tag(message.tag)
+                self._tags.use(message.tag)
                 self._call(message)
 
+    def _write_short(self, text: bytes) -> None:
+        """Writes a few bytes that answer no open request: a client that reads none of them is cut off."""
+        self.connection.write(text, leave=self._left_to_others(len(text)))
+
+    def _left_to_others(self, size: int) -> int:
+        """Bytes of the memory for answers that are left free where so many are to be written.
+
+        The memory goes to those first who read what they are answered: see `routing.request_memory`.
+        """
+        unsent = self.connection.unsent
+        if unsent + size <= SHORT_ANSWERS or not (unsent or self.open):
+            return 0
+        return max(self._front.answers.reserve, unsent)
+
+    @property
+    def alone(self) -> bool:
+        """Whether it asks for nothing else at this time, and has read what it was answered."""
+        connection = self.connection
+        return not (self.busy or connection.unsent or connection.unread or connection.pending)
+
     async def withdraw(self, tag: int) -> None:
         """Guards against calls withdrawn by the hundreds: what came in together is never sent out."""
-        self._cancels.tags.discard(tag)
-        if tag in self.lent and self.lender:
+        if self._cancels is not None:
+            self._cancels.tags.discard(tag)
+        if self.lent and tag in self.lent and self.lender:
             self.lent.remove(tag)
             self.lender.withdrawn(self, tag)
-        if (ticket := self.open.pop(tag, None)) is None:
+        if (ticket := self._closed(tag)) is None:
             return
-        kept = [taken for taken in self._fresh if taken.ticket is not ticket]
-        if len(kept) < len(self._fresh):
-            self._fresh = kept
-        else:
-            await self._front.engine.post(Left(ticket))
+        for taken in self._fresh:
+            if taken.ticket is ticket:
+                self._fresh.remove(taken)
+                self._front.engine.withdraw(taken)
+                return
+        await self._front.engine.post(Left(ticket))
+
+    def _closed(self, tag: int) -> _Ticket | None:
+        """The one place where a request is taken off the connection; None if it is not open."""
+        ticket = self.open.pop(tag, None)
+        if ticket is not None:
+            self.held -= ticket.held
+        return ticket
 
     def has_left(self, tag: int) -> bool:
         """Whether the client has ended its connection or taken a tag back, be that read or not."""
@@ -173,38 +217,31 @@
             return self.relay.has_left(self, tag)
         if self.connection.hung_up:
             return True
-        if tag not in self._cancels.tags and (unread := self.connection.unread_input()):
-            begun = self._reader.rest()
-            start = self.connection.received - self.connection.unread - len(begun)
-            self._cancels.look(begun + unread, start)
-        if tag in self._cancels.tags:
+        if self._shows_cancel(tag):
             self._front.counters.add("cancels_found_unread")
             return True
         return self._offered_to is not None and self._offered_to.has_left(self, tag)
 
-    def _new_tag(self, tag: int) -> None:
-        """A tag used again can't be answered without doubt which request is meant.
-
-        Tags mostly count up, so that only the gaps cost memory; far too many of them end the connection.
-        """
-        if tag <= self._used_to or tag in self._used:
-            raise ProtocolError("a tag is used again")
-        if len(self._used) >= MOST_TAGS_APART:
-            raise ProtocolError("too many tags with gaps between them")
-        self._used.add(tag)
-        while self._used_to + 1 in self._used:
-            self._used_to += 1
-            self._used.remove(self._used_to)
+    def _shows_cancel(self, tag: int) -> bool:
+        """Whether the cancel of a tag has come in and lies unread."""
+        if self._cancels is not None and tag in self._cancels.tags:
+            return True
+        if not (unread := self.connection.unread_input()):
+            return False
+        if self._cancels is None:
+            self._cancels = UnreadCancels()
+        self._cancels.look(unread, self.connection.received - self.connection.unread)
+        return tag in self._cancels.tags
 
     def _call(self, call: platform.Call) -> None:
         if problem := self._problem(call):
             return self._fail(call.tag, problem)
-        if len(self.open) + len(self.lent) >= platform.MOST_OPEN:
+        if len(self.open) + len(self.lent or ()) >= platform.MOST_OPEN:
             raise ProtocolError("too many calls open")
         if any(t.id == call.id for t in self.open.values()):
             raise ProtocolError("the id of an open call is used again")
         if self._front.closed:
-            self.connection.write(platform.refused(call.tag, self._front.settings.pushback_ms))
+            self._write_short(platform.refused(call.tag, self._front.settings.pushback_ms))
             return
         cls = self._front.classes[call.cls]
         read_ms = self._front.engine.clock.now()
@@ -224,12 +261,22 @@
             again=call.again,
             body=call.body,
         )
-        if self._front.engine.refuses_early(ask):
-            self._front.counters.add("refused_early")
-            self.connection.write(platform.refused(call.tag, self._front.settings.pushback_ms))
+        admission = self._front.engine.admit(ask, self) if self._reads_answers() else None
+        if admission is None:
+            self._write_short(platform.refused(call.tag, self._front.settings.pushback_ms))
             return
-        ticket = self.open[call.tag] = _Ticket(self, call.tag, call.id)
-        self._fresh.append(Taken(ask, ticket))
+        ticket = self.open[call.tag] = _Ticket(self, call.tag, call.id, admission.held)
+        self.held += admission.held
+        self._fresh.append(Taken(ask, ticket, admission.held, admission.alone))
+
+    def _reads_answers(self) -> bool:
+        """Whether a further answer may be added to those that its client has yet to read."""
+        unsent = self.connection.unsent
+        if not unsent or self._front.answers.allows(unsent, self._front.answers.reserve):
+            return True
+        self._front.answers.refuse()
+        self._front.counters.add("refused_unread")
+        return False
 
     def _problem(self, call: platform.Call) -> str:
         """What can't be served whatever the stores do; empty if nothing is wrong.
@@ -256,37 +303,50 @@
         if self._front.served is not None:
             self._front.served(self.connection.peer)
 
-    def closes(self, tag: int, text: bytes) -> None:
+    def closes(self, tag: int, text: Text) -> None:
         """Writes a request's final answer, unless its client has left."""
-        if self.open.pop(tag, None):
+        if self._closed(tag) is not None:
             self._deliver(tag, text)
 
     def returned(self, tag: int, text: bytes = b"") -> None:
         """What an older process answers to a tag that it kept; it fails if that process is gone."""
-        if tag in self.lent:
+        if self.lent and tag in self.lent:
             self.lent.remove(tag)
-            self._deliver(tag, text or platform.failed(tag))
+            self._deliver(tag, (text or platform.failed(tag),))
 
-    def _deliver(self, tag: int, text: bytes) -> None:
+    def _deliver(self, tag: int, text: Text) -> None:
         """Gives a final answer to whoever has the connection."""
         if self._held is not None:
-            self._held.append((tag, text))
+            self._hold(tag, text)
         elif self.relay is not None:
-            self.relay.answered(self, tag, text)
+            self.relay.answered(self, tag, b"".join(text))
         else:
             self._say(tag, text)
 
-    def _say(self, tag: int, text: bytes) -> None:
-        if not self.connection.write(text, instead=platform.failed(tag)):
+    def _hold(self, tag: int, text: Text) -> None:
+        """Keeps an answer until it is known who has the connection; without memory for it, it fails."""
+        assert self._held is not None
+        try:
+            self._front.answers.take(sum(map(len, text)))
+        except NoMemory:
+            self._front.counters.add("answers_not_written")
+            text = (platform.failed(tag),)
+            self._front.answers.take_always(len(text[0]))
+        self._held.append((tag, text))
+
+    def _say(self, tag: int, text: Text) -> None:
+        size = sum(map(len, text))
+        instead = text[0] if len(text) == 1 else platform.failed(tag)  # short ones always pass
+        if not self.connection.write(*text, instead=instead, leave=self._left_to_others(size)):
             self._front.counters.add("answers_not_written")
-            log.warning("no memory for an answer of %d bytes to %s", len(text), self.connection.peer)
+            log.warning("no memory for an answer of %d bytes to %s", size, self.connection.peer)
         self._answered_at = time.monotonic()
         self.ends_at = max(self.ends_at, time.monotonic() + (WHOLE_S if self.amid else IDLE_S))
 
     @property
     def exhausted(self) -> bool:
         """Whether too many used tags have to be kept."""
-        return len(self._used) >= TAGS_APART
+        return self._tags.too_many
 
     @property
     def busy(self) -> bool:
@@ -301,26 +361,21 @@
         self._answered_at = time.monotonic()
         self.ends_at = max(self.ends_at, self._answered_at + IDLE_S)
 
-    @property
-    def half_read(self) -> bytes:
-        """The message that has begun to come in, as far as it was taken from the connection."""
-        return self._reader.rest()
-
     def offer(self, number: int) -> handover.Offered:
         """All that another process must know to go on, but for the bytes that the connection holds."""
         connection = self.connection
         return handover.Offered(
             number=number,
             memory=connection.memory,
-            unread=len(self.half_read) + connection.unread,
+            unread=connection.unread,
             unsent=connection.unsent,
             came_after=connection.unread_came_after(),
-            tags=handover.Tags(self._used_to, tuple(self._used), (*self.open, *self.lent)),
+            tags=handover.Tags(self._tags.up_to, self._tags.apart, (*self.open, *(self.lent or ()))),
         )
 
     def resume(self, tags: handover.Tags, lender: Lender) -> None:
         """Goes on where another process stopped."""
-        self._used_to, self._used = tags.used_to, set(tags.used)
+        self._tags.restore(tags.used_to, tags.used)
         self.lent, self.lender = set(tags.open), lender
         self._answered_at = time.monotonic()
         self.ends_at = self._answered_at + IDLE_S
@@ -339,12 +394,15 @@
                 held, self._held, self._offered_to = self._held, None, None
                 self.relay = relay if taken else self.relay
                 for tag, text in held:
+                    self._front.answers.give(sum(map(len, text)))
                     self._deliver(tag, text)
             return taken
 
         return await self.connection.hand_over(transfer)
 
     async def leave(self) -> None:
+        if self.connection.closed:
+            self._tags.close()
         if self.connection.handed_over:
             return  # what is open goes on, and is answered by way of the process that has it
         await self.give_up()
@@ -353,8 +411,8 @@
         """Nothing of what is open is wanted any more."""
         if self.lender:
             self.lender.left(self)
-        gone, self.open = self.open, {}
-        self.lent = set()
+        gone, self.open, self.held = self.open, {}, 0
+        self.lent = None
         for ticket in gone.values():
             await self._front.engine.post(Left(ticket))
 
@@ -370,8 +428,12 @@
         state: Callable[[], bytes],
         listener: Listener,
         counters: Counters,
+        answers: Account,
+        tags: Account,
     ) -> None:
+        """`answers` has the memory for what clients have yet to read, `tags` for the tags that they use."""
         self.engine, self.settings, self.state, self.counters = engine, settings, state, counters
+        self.answers, self.tags = answers, tags
         self.classes = {name: n for n, name in enumerate(classes)}
         self.clients = Clients(listener, self._connected)
         self.closed = False  # what still comes is refused: the program ends
--- a/starlinghaven/program/fronts/signed.py
+++ b/starlinghaven/program/fronts/signed.py
@@ -124,13 +124,17 @@
         except _Refused as refused:
             exchange.respond(refused.response)
             return
+        admission = self._engine.admit(ask, exchange)
+        if admission is None:
+            exchange.respond(response(Answer(Result.REFUSED, wait_ms=self._settings.pushback_ms)))
+            return
         ticket = _Ticket(exchange)
 
         async def left() -> None:
             await self._engine.post(Left(ticket))
 
         exchange.left = left
-        await self._engine.post(Taken(ask, ticket))
+        await self._engine.post(Taken(ask, ticket, admission.held, admission.alone))
 
     def _ask(self, exchange: Exchange) -> Ask:
         request = exchange.request
--- a/starlinghaven/program/fronts/taker.py
+++ b/starlinghaven/program/fronts/taker.py
@@ -10,22 +10,32 @@
 import os
 import socket
 from collections import deque
+from dataclasses import dataclass
 
 import trio
 
 from starlinghaven.containment import contained
+from starlinghaven.memory import Account, NoMemory
 from starlinghaven.program.fronts.platform import Client, PlatformFront
 from starlinghaven.protocol import ProtocolError, handover
 from starlinghaven.transport import errors, sockets
 from starlinghaven.transport.channel import Channel
-from starlinghaven.transport.connection import Connection
-from starlinghaven.transport.ring import Memory, NoMemory, Ring
+from starlinghaven.transport.connection import COST, Connection, ConnectionAccounts
+from starlinghaven.transport.ring import Ring
 
 log = logging.getLogger(__name__)
 
 ACCEPT_AGAIN_S = 0.05  # seconds after an accept that failed
 
 
+@dataclass(frozen=True, slots=True)
+class HandoverAccounts:
+    """Where the memory of an upgrade comes from."""
+
+    clients: ConnectionAccounts  # for connections that are taken over
+    channel: Account  # for what passes between the processes
+
+
 class _Arrival:
     """A connection that is being handed over to this process; it is not this one's yet."""
 
@@ -42,9 +52,12 @@
 class Taker:
     """The newer process's end: takes connections, and brings the older one's answers to them."""
 
-    def __init__(self, sock: trio.socket.SocketType, memory: Memory, front: PlatformFront) -> None:
-        self._channel = Channel(sock, memory, handover.MOST_FRAME)
-        self._memory, self._front = memory, front
+    def __init__(
+        self, sock: trio.socket.SocketType, accounts: HandoverAccounts, front: PlatformFront
+    ) -> None:
+        self._channel = Channel(sock, accounts.channel)
+        self._accounts, self._front = accounts.clients, front
+        self._memory = accounts.clients.connections.memory
         self._reader = handover.FrameReader()
         self._arrival: _Arrival | None = None
         self._clients: dict[int, Client] = {}  # those to which answers are still to come
@@ -57,7 +70,7 @@
         finally:
             self._drop_arrival()
             for client in self._clients.values():  # guards clients against an older process that was killed
-                for tag in tuple(client.lent):
+                for tag in tuple(client.lent or ()):
                     client.returned(tag)
             log.info("%d connections were taken over", self._taken)
 
@@ -115,7 +128,7 @@
         try:
             self._memory.borrow(memory)
             borrowed = memory
-            return Connection(sock, self._memory, came_after, spares=True)
+            return Connection(sock, self._accounts, came_after)
         except (NoMemory, OSError):
             self._memory.repay(borrowed)
             sock.close()
@@ -160,7 +173,7 @@
         if not fds:
             raise ProtocolError("a connection without its descriptor")
         sizes = len(frame.unread), len(frame.unsent)
-        memory = sum(map(Ring.room, sizes))  # it is borrowed, so that there is room
+        memory = COST + sum(map(Ring.room, sizes))  # it is borrowed, so that there is room
         try:
             connection = self._connection(fds.popleft(), memory, None)
         except (NoMemory, OSError) as error:
@@ -179,7 +192,7 @@
         if client.lent:
             self._clients[number] = client
             if self._channel.closed:
-                for tag in tuple(client.lent):
+                for tag in tuple(client.lent or ()):
                     client.returned(tag)
 
     def _drop_arrival(self) -> None:
@@ -210,8 +223,8 @@
 class Door:
     """Where an older process brings its connections."""
 
-    def __init__(self, path: str, memory: Memory, front: PlatformFront) -> None:
-        self._path, self._memory, self._front = path, memory, front
+    def __init__(self, path: str, accounts: HandoverAccounts, front: PlatformFront) -> None:
+        self._path, self._accounts, self._front = path, accounts, front
 
     async def open(self) -> None:
         """Listens from now on. Errors: OSError."""
@@ -238,4 +251,4 @@
     async def _one(self, sock: trio.socket.SocketType) -> None:
         log.info("an older process hands its clients over")
         with contained(log, "the handing over of clients", self._front.counters.add):
-            await Taker(sock, self._memory, self._front).run()
+            await Taker(sock, self._accounts, self._front).run()
--- a/starlinghaven/program/operations/console.py
+++ b/starlinghaven/program/operations/console.py
@@ -12,6 +12,7 @@
 
 from starlinghaven.program.fronts.clients import Clients
 from starlinghaven.program.operations.handover import Handover
+from starlinghaven.program.operations.memory_report import MemoryReport
 from starlinghaven.protocol import ProtocolError, console
 from starlinghaven.routing.engine import Engine
 from starlinghaven.routing.types import Counters, Hand
@@ -66,9 +67,9 @@
 
     def __init__(
         self, listener: Listener, engine: Engine, classes: tuple[str, ...], counters: Counters,
-        handover: Handover, fleet: Fleet | None = None,
+        handover: Handover, memory: MemoryReport, fleet: Fleet | None = None,
     ) -> None:  # fmt: skip
-        self._fleet = fleet
+        self._fleet, self._memory = fleet, memory
         self._engine, self._classes, self._counters = engine, classes, counters
         self._handover = handover
         self.clients = Clients(listener, lambda connection: _Caller(self, connection))
@@ -80,6 +81,8 @@
                 return console.yes("ready") if ready else console.no(self._engine.state)
             case "telemetry":
                 return console.figures(self._figures())
+            case "memory":
+                return console.lines(self._memory.figures())
             case "members" | "stance" | "spread" if self._fleet is None:
                 return console.no("no peers")
             case "members" if self._fleet is not None:
--- a/starlinghaven/program/operations/health.py
+++ b/starlinghaven/program/operations/health.py
@@ -23,8 +23,8 @@
 from starlinghaven.health import wire
 from starlinghaven.health.model import Facts, Health, ListSource, Thresholds, Verdict
 from starlinghaven.program import logs
-from starlinghaven.routing import engine as engines
 from starlinghaven.routing.inbox import QUEUE
+from starlinghaven.routing.request_memory import REQUEST_BYTES
 from starlinghaven.transport.connection import Connection
 from starlinghaven.transport.ring import Ring
 
@@ -81,7 +81,7 @@
             source = ListSource.CONFIRMED
         else:
             source = ListSource.INHERITED
-        waiting = e.waiting
+        waiting, requests = e.waiting, e.accounts.requests
         fds, fds_limit = descriptors()
         clients, clients_limit = self._clients() if self._clients else (0, 0)
         return Facts(
@@ -93,8 +93,8 @@
             heard=len(e.heard & e.fleet_ids),
             queue=waiting,
             queue_limit=QUEUE,
-            open=e.open_requests,
-            open_limit=engines.MOST_OPEN,
+            open=requests.held // REQUEST_BYTES,
+            open_limit=requests.limit // REQUEST_BYTES,
             fds=fds,
             fds_limit=fds_limit,
             clients=clients,
--- a/starlinghaven/protocol/console.py
+++ b/starlinghaven/protocol/console.py
@@ -12,7 +12,7 @@
 MOST_LINE = 256  # bytes of a call at most, its end included
 PREFIX = "edge_lb"
 CALLS = {  # and how many words follow each
-    **{"readyz": 0, "telemetry": 0, "members": 0, "stance": 0, "spread": 0},
+    **{"readyz": 0, "telemetry": 0, "memory": 0, "members": 0, "stance": 0, "spread": 0},
     **{"exclude": 1, "include": 1},
 }
 _ID = re.compile(r"[0-9A-Za-z_.:-]{1,64}")
--- a/starlinghaven/protocol/handover.py
+++ b/starlinghaven/protocol/handover.py
@@ -23,8 +23,9 @@
 from dataclasses import dataclass
 from enum import IntEnum
 
+from starlinghaven.memory import own_account
 from starlinghaven.protocol import ProtocolError
-from starlinghaven.transport.ring import SMALL, Memory, Ring
+from starlinghaven.transport.ring import LEAST, Ring
 
 PIECE_BYTES = 64 * 1024  # of what a connection holds, in one frame
 MOST_FRAME = 9 * 1024 * 1024  # bytes: a Handed frame holds all that a connection may hold
@@ -211,7 +212,7 @@
         """The whole frames in input that is not read yet, which stays; what is not in form ends them."""
         if not data:
             return
-        reader, ring = FrameReader(), Ring(Memory(max(4 * len(data), 2 * SMALL)))
+        reader, ring = FrameReader(), Ring(own_account(4 * len(data) + 2 * LEAST))
         reader._head = self._head
         ring.put(data)
         with contextlib.suppress(ProtocolError):  # told when it is read
--- a/starlinghaven/protocol/platform.py
+++ b/starlinghaven/protocol/platform.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 
 from starlinghaven.protocol import ProtocolError, numbers
-from starlinghaven.protocol.resp import RespReader, encode, read_fields, write_fields
+from starlinghaven.protocol.resp import RespReader, encode, encode_apart, read_fields, write_fields
 
 MOST_BODY = 64 * 1024  # bytes that a call brings at most: the platform's limit is 48,000
 MOST_WORDS = 5  # of a message
@@ -124,8 +124,9 @@
     )
 
 
-def served(tag: int, body: bytes) -> bytes:
-    return encode(b"%d" % tag, RESULT, b"", body)
+def served(tag: int, body: bytes) -> tuple[bytes, ...]:
+    """The answer in pieces: its body may be large."""
+    return encode_apart(b"%d" % tag, RESULT, b"", body)
 
 
 def unchanged(tag: int) -> bytes:
--- a/starlinghaven/protocol/resp.py
+++ b/starlinghaven/protocol/resp.py
@@ -10,41 +10,42 @@
 
 
 class RespReader:
-    """Reads one array after the other, each of at most `words` strings; the one at `body_at` may be long."""
+    """Reads one array after the other, each of at most `words` strings; the one at `body_at` may be long.
+
+    An array stays in the ring until it is whole: there its bytes are counted.
+    """
 
     def __init__(self, *, words: int, word_bytes: int, body_at: int, body_bytes: int) -> None:
         self._words, self._word_bytes = words, word_bytes
         self._body_at, self._body_bytes = body_at, body_bytes
-        self._left = 0  # strings of this array that are still to come
-        self._length: int | None = None  # of the string that comes next, once its line is read
-        self._got: list[bytes] = []
+        self._begin_anew()
         self.wanted = 1  # bytes that the ring must hold before there is more to read
 
-    @property
-    def amid(self) -> bool:
-        """Whether an array has begun and is not whole yet."""
-        return self._left > 0
+    def _begin_anew(self) -> None:
+        self._at = 0  # bytes of the ring that were looked at for the array that comes in
+        self._left = 0  # strings of it that are still to come
+        self._spans: list[tuple[int, int]] = []  # where those are that have come, and their lengths
+        self._length: int | None = None  # of the string that comes next, once its line is read
 
-    def rest(self) -> bytes:
-        """What was taken from the ring for an array that is not whole yet, as it came in."""
-        if not self._left:
-            return b""
-        start = b"*%d\r\n" % (len(self._got) + self._left)
-        taken = b"".join(b"$%d\r\n%s\r\n" % (len(word), word) for word in self._got)
-        return start + taken + (b"" if self._length is None else b"$%d\r\n" % self._length)
+    def _most_bytes(self, string: int) -> int:
+        """How long a string of an array may be."""
+        return self._body_bytes if string == self._body_at else self._word_bytes
 
     def _number(self, ring: Ring, sign: bytes, most: int) -> int | None:
-        """The number of a length line, or None if the line is not whole yet."""
-        line = ring.line(MOST_LENGTH_LINE)
-        if line is None:
-            if ring.size >= MOST_LENGTH_LINE or ring.size and ring.take(1, keep=True) != sign:
+        """The number of the length line at `_at`, which is passed; None if the line is not whole yet."""
+        line = ring.peek(self._at, min(ring.size - self._at, MOST_LENGTH_LINE))
+        end = line.find(b"\r\n")
+        if end < 0:
+            if len(line) >= MOST_LENGTH_LINE or line and line[:1] != sign:
                 raise ProtocolError("a length was expected")
+            self.wanted = ring.size + 1
             return None
-        digits = line[1:]
+        digits = line[1:end]
         if line[:1] != sign or not digits.isdigit() or digits[:1] == b"0" and len(digits) > 1:
             raise ProtocolError("a length was expected")
         if int(digits) > most:
             raise ProtocolError("longer than allowed")
+        self._at += end + 2
         return int(digits)
 
     def _short(self, ring: Ring) -> list[bytes] | None:
@@ -67,8 +68,7 @@
             if digits[:1] == b"0" and len(digits) > 1:
                 return None
             length, at = int(digits), end + 2
-            most = self._body_bytes if n == self._body_at else self._word_bytes
-            if length > most or data[at + length : at + length + 2] != b"\r\n":
+            if length > self._most_bytes(n) or data[at + length : at + length + 2] != b"\r\n":
                 return None
             got.append(data[at : at + length])
             at += length + 2
@@ -88,23 +88,30 @@
                 raise ProtocolError("an empty array")
             self._left = count
         while self._left:
-            if self._length is None:
-                most = self._body_bytes if len(self._got) == self._body_at else self._word_bytes
-                self._length = self._number(ring, b"$", most)
-                if self._length is None:
-                    return None
-            if ring.size < self._length + 2:
-                self.wanted = self._length + 2
+            if not self._pass_string(ring):
                 return None
-            word = ring.take(self._length)
-            if ring.take(2) != b"\r\n":
-                raise ProtocolError("a string is longer than it said")
-            self._got.append(word)
-            self._length = None
-            self._left -= 1
-        got, self._got = self._got, []
+        got, end = [ring.peek(start, length) for start, length in self._spans], self._at
+        self._begin_anew()
+        ring.skip(end)
         return got
 
+    def _pass_string(self, ring: Ring) -> bool:
+        """Passes the next string of the array, if it is whole."""
+        if self._length is None:
+            self._length = self._number(ring, b"$", self._most_bytes(len(self._spans)))
+            if self._length is None:
+                return False
+        end = self._at + self._length
+        if ring.size < end + 2:
+            self.wanted = end + 2
+            return False
+        if ring.peek(end, 2) != b"\r\n":
+            raise ProtocolError("a string is longer than it said")
+        self._spans.append((self._at, self._length))
+        self._at, self._length = end + 2, None
+        self._left -= 1
+        return True
+
 
 def encode(*words: bytes) -> bytes:
     """One array of bulk strings."""
@@ -114,6 +121,15 @@
     return b"".join(parts)
 
 
+def encode_apart(*words: bytes) -> tuple[bytes, bytes, bytes]:
+    """One array of bulk strings in three pieces: the second is the last word itself, and no copy."""
+    *first, last = words
+    parts = [b"*%d\r\n" % len(words)]
+    for word in first:
+        parts += (b"$%d\r\n" % len(word), word, b"\r\n")
+    return b"".join((*parts, b"$%d\r\n" % len(last))), last, b"\r\n"
+
+
 def read_fields(raw: bytes) -> dict[str, str]:
     """The pairs of name=value,name=value; '-' or nothing stands for none."""
     if raw in (b"", b"-"):
--- a/starlinghaven/protocol/unread.py
+++ b/starlinghaven/protocol/unread.py
@@ -7,7 +7,7 @@
 from starlinghaven.protocol import ProtocolError, platform
 from starlinghaven.protocol.resp import MOST_LENGTH_LINE
 
-MOST_TAGS = 256  # kept of one connection; what comes after them is looked at once some of them are read
+MOST_TAGS = 48  # kept of one connection, more than may be open; others once some of them are read
 _CANCEL = b"RPC.CANCEL"
 
 
--- a/starlinghaven/router.py
+++ b/starlinghaven/router.py
@@ -22,9 +22,11 @@
 from starlinghaven.decisions.fills import FillCounts
 from starlinghaven.decisions.health import Flight, StoreHealth
 from starlinghaven.decisions.load import LoadModel
-from starlinghaven.decisions.popularity import COUNTS, UNKEPT, Popularity
+from starlinghaven.decisions.popularity import UNKEPT, Popularity
 from starlinghaven.decisions.purges import COUNTS_AS_KNOWN_MS, PurgeTable
+from starlinghaven.decisions.rankings import Rankings
 from starlinghaven.decisions.stores import SICK, StoreState
+from starlinghaven.decisions.table_sizes import TableSizes
 from starlinghaven.decisions.topology import Topology
 
 # Placement.
@@ -53,7 +55,7 @@
 # Rules.
 PURGE_MARGIN_MS = 60.0  # ms for clocks and ways in the age of a purged object's copy
 LIST_RETRY_MS = 1_000.0  # ms until the list is asked for again after an error
-TABLE = 20_000  # entries at most in the tables of purges and of attempts out
+FLIGHTS = 20_000  # attempts out that are remembered at most
 
 WATCH_TOKEN = 0
 
@@ -89,19 +91,20 @@
 class Router:
     """Decides for one proxy. Feed it events in order; carry out the actions in order."""
 
-    def __init__(self, settings: i.Settings, seed: int, now: float) -> None:
+    def __init__(self, settings: i.Settings, seed: int, now: float, sizes: TableSizes | None = None) -> None:
         i.validate(settings)
+        sizes = sizes or TableSizes()
         self.s, self.now = settings, now
         self.random = random.Random(seed)
         self.topology = Topology(settings)
-        self.ranked_for: OrderedDict[tuple[object, ...], list[StoreState]] = OrderedDict()
+        self.rankings = Rankings(sizes.ranking_bytes)
         self.jobs: dict[int, _Job] = {}
         self.flights: OrderedDict[tuple[int, int], Flight] = OrderedDict()
         self.waiting: list[deque[tuple[float, tuple[int, int]]]] = [deque() for _ in settings.classes]
-        self.popularity = Popularity(self.random, now)
+        self.popularity = Popularity(self.random, now, sizes.counts)
         self.cold = ColdBudgets(settings, self.random, now)
         self.spread = i.Spread()  # what all proxies together counted
-        self.purges = PurgeTable(TABLE, settings.purge_done_ms + PURGE_MARGIN_MS)
+        self.purges = PurgeTable(sizes.purges, settings.purge_done_ms + PURGE_MARGIN_MS)
         self.news_at = math.inf  # every purge up to then is known; for ever, where nobody says otherwise
         self.fills = FillCounts(now)
         self.load = LoadModel(settings, self.topology, self.cold)
@@ -176,16 +179,14 @@
     def _ranking(self, role: list[StoreState], *words: object) -> list[StoreState]:
         """Rendezvous hashing of a role's stores, by weight where weights mean something; remembered."""
         name = (role is self.topology.parents, *words)
-        if name in self.ranked_for:
-            self.ranked_for.move_to_end(name)
-            return self.ranked_for[name]
+        if (known := self.rankings.find(name)) is not None:
+            return known
 
         def height(s: StoreState) -> float:
             return s.share * self.load.weight(s) / -math.log(_digest(s.m.store, *words))
 
-        ranked = self.ranked_for[name] = sorted(role, key=height, reverse=True)
-        if len(self.ranked_for) > COUNTS:
-            self.ranked_for.popitem(last=False)
+        ranked = sorted(role, key=height, reverse=True)
+        self.rankings.keep(name, ranked)
         return ranked
 
     def _homes(self, job: _Job) -> list[StoreState]:
@@ -227,7 +228,7 @@
         for name, s in self.stores.items():
             if s.share != (share := event.shares.get(name, 1.0)):
                 s.share = share
-                self.ranked_for.clear()
+                self.rankings.clear()
 
     def _sources(self, job: _Job) -> list[StoreState]:
         """Where a miss may be filled from: parents that are reached, by the hash, then the origin."""
@@ -243,7 +244,7 @@
 
     def _overdue(self) -> None:
         for waiting in self.waiting:
-            while waiting and waiting[0][0] <= self.now:
+            while waiting and (waiting[0][0] <= self.now or waiting[0][1] not in self.flights):
                 if flight := self.flights.get(waiting.popleft()[1]):
                     self.health.overdue(flight, self.now)
 
@@ -268,7 +269,7 @@
                 out.append(i.SetTimer(LIST_RETRY_MS * (1 + self.random.random()), WATCH_TOKEN))
             return
         self.topology.update(event)
-        self.ranked_for.clear()
+        self.rankings.clear()
 
     def _purged_at(self, r: i.Request) -> float | None:
         """Until when copies of the object may be void at stores; None where all that is there is newer.
@@ -326,9 +327,10 @@
             return self._go(job, homes[0], origin[0], out) if homes else self._give_up(job, out)
         homes = self._allowed(job, self._homes(job))
         if job.sent == 0:
-            if homes and self.load.load(homes[0], self.now) > self.load.limit(job.r):
+            limit = self.load.limit(job.r)
+            if homes and self.load.load(homes[0], self.now) > limit:
                 return self._give_up(job, out)
-            waits = bool(homes) and self.load.held(homes[0], self.now) > self.load.limit(job.r)
+            waits = bool(homes) and self.load.held(homes[0], self.now) > limit
             job.held_only = waits or self._late_fill(job)
         if job.held_only:
             return self._go(job, homes[0], homes[0], out) if homes else self._give_up(job, out)
@@ -379,7 +381,7 @@
         self.load.spend(store, job.r, self.now + (0.0 if store.up else self.s.dial_ms), self.now)
         calm = source is not None and self.load.load(store, self.now) < CALM
         self.flights[r.id, job.sent] = Flight(store.m.store, source.m.store if source else "", calm)
-        if len(self.flights) > TABLE:
+        if len(self.flights) > FLIGHTS:
             self.flights.popitem(last=False)
         aim = min(job.c.target_ms + job.c.stretch * self.load.mean(r.cls), job.c.give_up_ms)  # on average
         self.waiting[r.cls].append((self.now + aim, (r.id, job.sent)))
--- a/starlinghaven/routing/backlog.py
+++ b/starlinghaven/routing/backlog.py
@@ -29,13 +29,14 @@
             note_wait(self._counters, "wait_unread", ask.read_ms - ask.taken_ms)
             note_wait(self._counters, "wait_queue", self._queued_ms)
 
-    def is_too_late(self, ask: Ask, now: float, queued: bool) -> bool:
+    def is_too_late(self, ask: Ask, now: float, queues: bool) -> bool:
         """Whether a request is to be refused at once, since requests come faster than they are decided.
 
         Those go first whose time will be nearly over when they are decided: the time of the others is not
-        spent on them, and they are told while they can ask elsewhere. `queued`: it has waited already.
+        spent on them, and they are told while they can ask elsewhere. `queues`: it is yet to wait for its
+        turn, behind others.
         """
         if not self._inbox.crowded:
             return False
-        expected_ms = now - ask.taken_ms + (0.0 if queued else self._queued_ms)
+        expected_ms = now - ask.taken_ms + (self._queued_ms if queues else 0.0)
         return expected_ms > LOST_SHARE * ask.patience_ms
--- a/starlinghaven/routing/copies.py
+++ b/starlinghaven/routing/copies.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 
 from starlinghaven.decisions.purges import PurgeTable
+from starlinghaven.memory import Account
 from starlinghaven.routing.clock import Clock
 from starlinghaven.routing.types import Ask, Ended
 
@@ -41,16 +42,32 @@
     """Holds copies up to a number of bytes; drops those of no rank first, then what was used longest ago."""
 
     def __init__(
-        self, limit: int, flow: float, link: float, clock: Clock, cleared_within_ms: float = math.inf
+        self,
+        account: Account,
+        flow: float,
+        link: float,
+        clock: Clock,
+        cleared_within_ms: float = math.inf,
+        most_purges: int = MOST_PURGES,
     ) -> None:
-        """`limit` in bytes, the rates in bytes/s; stores drop purged copies within `cleared_within_ms`."""
-        self.limit, self._flow, self._link, self._clock = limit, flow, link, clock
+        """`account` has their memory, the rates are in bytes/s; stores drop purged copies within
+        `cleared_within_ms`."""
+        self._account, self._flow, self._link, self._clock = account, flow, link, clock
         self._cleared_within_ms = cleared_within_ms
         self._kept: tuple[OrderedDict[Name, Copy], ...] = (OrderedDict(), OrderedDict())
-        self.purges = PurgeTable(MOST_PURGES, KEEP_PURGES_MS)
-        self.held = 0  # bytes
+        self.purges = PurgeTable(most_purges, KEEP_PURGES_MS)
         self._free_at = 0.0  # when the link has sent what was put on it
 
+    @property
+    def held(self) -> int:
+        """Bytes of all copies."""
+        return self._account.held
+
+    @property
+    def limit(self) -> int:
+        """Bytes that they may have at most."""
+        return self._account.limit
+
     @staticmethod
     def _name(ask: Ask) -> Name:
         return ask.cls, ask.key, ask.part, ask.group
@@ -79,11 +96,13 @@
         if held is not None and held.given_ms > copy.given_ms:
             return  # an older answer that came later
         self._drop(name)
-        self._kept[rank > 0][name] = copy
-        self.held += copy.cost
-        while self.held > self.limit:
-            kept = self._kept[0] or self._kept[1]
+        while not self._account.allows(copy.cost):
+            kept = self._kept[0] or (self._kept[1] if rank else None)
+            if not kept:
+                return  # one without a rank would go first
             self._drop(next(iter(kept)))
+        self._account.take_always(copy.cost)
+        self._kept[rank > 0][name] = copy
 
     def _purged(self, ask: Ask, copy: Copy) -> bool:
         known = copy.given_ms <= self.purges.latest(ask.key, ask.group)
@@ -92,7 +111,7 @@
     def _drop(self, name: Name) -> None:
         for kept in self._kept:
             if copy := kept.pop(name, None):
-                self.held -= copy.cost
+                self._account.give(copy.cost)
 
     def purge(self, group: int, key: str | None, made_ms: float) -> None:
         """Drops older copies, and remembers the purge for those still on their way."""
--- a/starlinghaven/routing/engine.py
+++ b/starlinghaven/routing/engine.py
@@ -12,21 +12,25 @@
 from starlinghaven import interface as i
 from starlinghaven.containment import CONTAINED, contained
 from starlinghaven.decisions.execution import ExecutionRecord
+from starlinghaven.decisions.table_sizes import TableSizes
 from starlinghaven.router import Router
 from starlinghaven.routing import request_log
 from starlinghaven.routing.backlog import Backlog
 from starlinghaven.routing.clock import Clock
 from starlinghaven.routing.copies import Copies
+from starlinghaven.routing.crowd import Crowd
 from starlinghaven.routing.guard import Guard, OpenRequest
 from starlinghaven.routing.inbox import Inbox
 from starlinghaven.routing.lease import PAUSE_MS
 from starlinghaven.routing.open_requests import OpenRequests, UnservedShare
 from starlinghaven.routing.own_copies import OwnCopies
+from starlinghaven.routing.request_memory import Admission, EngineAccounts, admitted
 from starlinghaven.routing.store_table import StoreTable
 from starlinghaven.routing.timers import Timers
 from starlinghaven.routing.types import (
     Answer,
     Ask,
+    Asker,
     Attempt,
     CacheSide,
     Counters,
@@ -56,7 +60,6 @@
 ANSWER_GRACE_MS = 10.0  # ms by which a time-out is put off once, while the store's answer may lie unread
 MARGIN_MS = 25.0  # ms before the client's deadline at which its request ends here: the answer must travel
 GUARD_MS = 5.0  # ms after that, at which one that the Router still holds is failed
-MOST_OPEN = 2048  # requests held at once; beyond it they are refused unseen
 NOTES = {note.value: note for note in i.Note}
 TELLS_NOTHING = frozenset({i.Code.MISS, i.Code.MOOT, i.Code.CANCELLED})  # of the cache that was asked
 STALL_MS = 50.0  # ms that an event or a timer waited, from which fronts and stores are read before it counts
@@ -69,21 +72,30 @@
     """Feed it through `post`; it answers tickets and gives attempts to the cache side."""
 
     def __init__(
-        self, settings: i.Settings, seed: int, clock: Clock, counters: Counters, copies: Copies | None = None
+        self,
+        settings: i.Settings,
+        seed: int,
+        clock: Clock,
+        counters: Counters,
+        copies: Copies | None = None,
+        accounts: EngineAccounts | None = None,
+        sizes: TableSizes | None = None,
     ) -> None:
         self._clock_observed_at = -math.inf
         self.clock, self.counters, self._settings = clock, counters, settings
+        self.accounts = accounts or EngineAccounts()
         self.own_copies = OwnCopies(copies, clock, counters)
-        self._router = Router(settings, seed, clock.now())
+        self._router = Router(settings, seed, clock.now(), sizes)
         self._inbox = Inbox(clock)
         self._backlog = Backlog(self._inbox, counters)
+        self._crowd = Crowd(clock)
         self.caches: CacheSide | None = None
         self.tell: Callable[[str, bool], None] | None = None  # to other proxies: store, silent; never waits
         self.news_unread: Callable[[], bool] | None = None  # whether something of the change log lies unread
         self.observer: Observer | None = None  # of loads, where proxies tell each other
         self._open = OpenRequests()
         self._attempts: dict[tuple[int, int], Attempt] = {}
-        self._stores = StoreTable(settings, clock)
+        self._stores = StoreTable(settings, clock, self.accounts.list)
         self._guard = Guard(self._stores, clock, counters)
         # An attempt's time-out, a request's deadline, or a token of the Router.
         self._timers = Timers[Attempt | OpenRequest | int]()
@@ -99,9 +111,27 @@
         """The only way in. Waits while the queue is full; see `Inbox.post`."""
         await self._inbox.post(event)
 
-    def refuses_early(self, ask: Ask) -> bool:
-        """Whether a request that was just read can't be decided in time: it is not posted then."""
-        return self._backlog.is_too_late(ask, self.clock.now(), queued=False)
+    def admit(self, ask: Ask, asker: Asker) -> Admission | None:
+        """Whether a request that was just read is to be posted.
+
+        None: it is to be refused, since it can't be decided in time or there is no memory for it. Who does
+        not post it after all gives its memory back by `withdraw`.
+        """
+        alone = asker.alone
+        if self._backlog.is_too_late(ask, self.clock.now(), queues=not alone):
+            self._crowd.note()
+            self.counters.add("refused_early")
+            return None
+        admission = admitted(self.accounts.requests, ask, asker, alone)
+        if admission is None:
+            self._crowd.note()
+            self.counters.add("refused_for_memory")
+            request_log.no_memory(ask, self.accounts.requests.free)
+        return admission
+
+    def withdraw(self, taken: Taken) -> None:
+        """A request that was admitted is not posted: its client has left already."""
+        self.accounts.requests.give(taken.held)
 
     @property
     def open_requests(self) -> int:
@@ -197,6 +227,10 @@
         self.own_copies.note_lease(now)
         for end in self._inbox.ends():
             self._handle_contained(end)
+            if isinstance(end, Ended):
+                self.accounts.answers.give(end.held)
+        for taken in self._inbox.lone():
+            self._handle_contained(taken)
 
     def _handle_contained(self, event: Event) -> None:
         """Handles an event. A defect that it meets ends neither the engine nor the wait of its client."""
@@ -213,6 +247,7 @@
             case Taken():
                 number = self._open.number(event.ticket)
                 if number is None:
+                    self.accounts.requests.give(event.held)
                     event.ticket.answer(Answer(Result.FAILED))
                 else:
                     self._abandon(number)
@@ -323,36 +358,48 @@
     def _take(self, event: Taken) -> None:
         ask = event.ask
         self.counters.add("taken")
-        if len(self._open) >= MOST_OPEN:  # guards memory; the Router refuses long before
-            request_log.engine_full(ask, len(self._open))
-            self._tell(event, Answer(Result.REFUSED, wait_ms=self._settings.pushback_ms))
-            return
         now = self.clock.now()
         self._backlog.taken(ask, now)
-        if self._backlog.is_too_late(ask, now, queued=True):
+        if self._backlog.is_too_late(ask, now, queues=False):
             self.counters.add("refused_early")
-            self._tell(event, Answer(Result.REFUSED, wait_ms=self._settings.pushback_ms))
+            self._turn_away(event, Answer(Result.REFUSED, wait_ms=self._settings.pushback_ms))
             return
         if self._open.has_id(ask.id):
             self.counters.add("ids_again")
             request_log.id_in_use(ask)
-            self._tell(event, Answer(Result.FAILED))
+            self._turn_away(event, Answer(Result.FAILED))
             return
         deadline = ask.taken_ms + max(ask.patience_ms - MARGIN_MS, ask.patience_ms / 2)
         cls = self._settings.classes[ask.cls]
         execution = ExecutionRecord(cls, self._settings.second_copies)
-        request = OpenRequest(ask, event.ticket, deadline, execution)
+        request = OpenRequest(ask, event.ticket, deadline, execution, held=event.held)
         number = self._open.add(request)
-        self._timers.at(deadline + GUARD_MS, request)
+        request.timer = self._timers.at(deadline + GUARD_MS, request)
         patience = max(deadline - self.clock.now(), 0.0)
         part = ask.part or 0
         own = self.own_copies.offered(ask)
         if self.observer and not self._settings.classes[ask.cls].uncached:
             self.observer.asked(ask.key)
         self._decide(
-            i.Request(number, ask.cls, patience, ask.key, ask.group, part, ask.size_kb, ask.again, own)
+            i.Request(
+                id=number,
+                cls=ask.cls,
+                patience_ms=patience,
+                key=ask.key,
+                group=ask.group,
+                part=part,
+                size_kb=ask.size_kb,
+                again=ask.again,
+                own=own,
+                load_share=self._crowd.load_share(event.alone),
+            )
         )
 
+    def _turn_away(self, event: Taken, answer: Answer) -> None:
+        """Answers a request that is not opened."""
+        self.accounts.requests.give(event.held)
+        self._tell(event, answer)
+
     def _serve(self, action: i.Serve) -> None:
         """The Router wants the own copy served. It may have gone since it was asked about."""
         request = self._open.get(action.request)
@@ -382,6 +429,8 @@
     def _close(self, number: int) -> OpenRequest:
         """The one place where a request leaves the engine."""
         request = self._open.close(number)
+        self._timers.cancel(request.timer)
+        self.accounts.requests.give(request.held)
         if not self._open:
             self._quiet.set()
         return request
@@ -416,6 +465,8 @@
     def _settle(self, a: Attempt, e: Ended) -> None:
         """The one place where an attempt that was out is given back."""
         del self._attempts[a.request, a.number]
+        self._timers.cancel(a.timer)
+        a.timer = None
         self.counters.add(f"ended_{e.code.name.lower()}")
         if self.observer:
             with self._contained("the observer"):
@@ -455,7 +506,7 @@
         if self._answer_may_wait(a):
             a.put_off = True
             self.counters.add("timeouts_put_off")
-            self._timers.at(self.clock.now() + ANSWER_GRACE_MS, a)
+            a.timer = self._timers.at(self.clock.now() + ANSWER_GRACE_MS, a)
             return
         self._give_up(a, i.Code.TIMEOUT)
 
@@ -530,7 +581,7 @@
         if attempt.number >= self._settings.most_attempts or not self._guard.may_begin(request, attempt):
             self._settle(attempt, Ended(attempt, i.Code.MOOT))
             return
-        self._timers.at(now + attempt.timeout_ms, attempt)
+        attempt.timer = self._timers.at(now + attempt.timeout_ms, attempt)
         if self.observer and store is not None and self._stores.is_own_cache(store):
             self.observer.sent(attempt.store, now)
         self.caches.send(attempt)
@@ -589,6 +640,7 @@
         if self.caches:
             for gone in before - self._stores.ids:
                 self.caches.forget(gone)
+        self.heard &= self._stores.ids
         self.counters.add("lists")
         self._decide(i.Members(news.kind, tuple(members)))
 
--- a/starlinghaven/routing/guard.py
+++ b/starlinghaven/routing/guard.py
@@ -8,11 +8,13 @@
 
 import logging
 from dataclasses import dataclass, field, replace
+from typing import Any
 
 from starlinghaven import interface as i
 from starlinghaven.decisions.execution import ExecutionRecord
 from starlinghaven.routing.clock import Clock
 from starlinghaven.routing.store_table import StoreTable
+from starlinghaven.routing.timers import Due
 from starlinghaven.routing.types import Answer, Ask, Attempt, Counters, Result, Ticket
 
 log = logging.getLogger("starlinghaven.requests")
@@ -29,6 +31,8 @@
     attempts: list[Attempt] = field(default_factory=list)
     last: i.Code | None = None  # how its last attempt ended
     lacking: bool = False  # its last attempt could be filled, and no copy was to be had
+    held: int = 0  # bytes of the budget that it holds
+    timer: Due[Any] | None = None  # the guard of its deadline
 
     @property
     def last_word(self) -> str:
--- a/starlinghaven/routing/inbox.py
+++ b/starlinghaven/routing/inbox.py
@@ -1,4 +1,8 @@
-"""The engine's queue of events. News of the change log goes first, then ends of requests and attempts."""
+"""The engine's queue of events.
+
+News of the change log goes first, then ends of requests and attempts, then requests of clients that ask for
+one thing at a time.
+"""
 
 from __future__ import annotations
 
@@ -9,7 +13,7 @@
 import trio
 
 from starlinghaven.routing.clock import Clock
-from starlinghaven.routing.types import Ended, Event, Left, LogNews
+from starlinghaven.routing.types import Ended, Event, Left, LogNews, Taken
 
 MOST_NEWS = 1024  # events of the change log that may wait
 QUEUE = 256  # other events that may wait, with up to 240 KB each; socket code waits when it is full
@@ -34,6 +38,7 @@
         self._send, self._receive = trio.open_memory_channel[Event | _Wake](QUEUE)
         self._news: deque[LogNews] = deque()
         self._news_taken = trio.Event()
+        self._lone: deque[Taken] = deque()  # requests whose client asks for nothing else at this time
         self._ends: deque[End] = deque()
         self._ends_taken = trio.Event()
         self.waits_since: float | None = None  # ms since the last turn, or since a post if nothing was left
@@ -41,7 +46,7 @@
     @property
     def waiting(self) -> int:
         """Events in the queue, not yet taken."""
-        return self._receive.statistics().current_buffer_used + len(self._ends)
+        return self._receive.statistics().current_buffer_used + len(self._ends) + len(self._lone)
 
     @property
     def crowded(self) -> bool:
@@ -53,7 +58,8 @@
 
         News of the change log has a queue of its own, which is emptied before anything else is handled: a
         purge or a drain must not wait behind the requests that it binds. So have ends: what is over must not
-        be taken for open, by decisions or by time-outs, while new requests are handled.
+        be taken for open, by decisions or by time-outs, while new requests are handled. Clients that ask for
+        one thing at a time do not wait behind the pipes of others; each has one such request at most.
         """
         if isinstance(event, LogNews):
             await self._post_news(event)
@@ -62,6 +68,9 @@
             self.waits_since = self._clock.now()
         if isinstance(event, End):
             await self._post_end(event)
+        elif isinstance(event, Taken) and event.alone:
+            self._lone.append(event)
+            self._wake()
         else:
             await self._send.send(event)
 
@@ -114,6 +123,11 @@
             yield self._ends.popleft()
         self._ends_taken.set()
 
+    def lone(self) -> Iterator[Taken]:
+        """Requests of clients that ask for nothing else, in order."""
+        while self._lone:
+            yield self._lone.popleft()
+
     def news(self) -> Iterator[LogNews]:
         """All news of the change log, in order; whoever waited for room goes on."""
         while self._news:
--- a/starlinghaven/routing/request_log.py
+++ b/starlinghaven/routing/request_log.py
@@ -11,9 +11,9 @@
 log = logging.getLogger("starlinghaven.requests")
 
 
-def engine_full(ask: Ask, open_requests: int) -> None:
-    """A request was refused unseen."""
-    log.info("request %s refused: %d requests open", ask.id, open_requests)
+def no_memory(ask: Ask, free: int) -> None:
+    """A request was refused as it was read."""
+    log.info("request %s refused: no memory for it, body=%d free=%d", ask.id, len(ask.body), free)
 
 
 def id_in_use(ask: Ask) -> None:
--- a/starlinghaven/routing/store_table.py
+++ b/starlinghaven/routing/store_table.py
@@ -2,19 +2,29 @@
 
 from __future__ import annotations
 
+import logging
 from dataclasses import replace
 
 from starlinghaven import interface as i
 from starlinghaven.decisions.execution import Location
+from starlinghaven.memory import Account, own_account
 from starlinghaven.routing.clock import Clock
 from starlinghaven.routing.types import FleetNews, Hand, Store
 
+log = logging.getLogger(__name__)
+
+STORE_BYTES = 3 * 1024  # of a listed store: its line, and what the decisions know of it
+UNBOUNDED = 1 << 40  # bytes, where nobody sets a limit
+
 
 class StoreTable:
     """Listed stores that are not gone, and those that operators have taken out of use."""
 
-    def __init__(self, settings: i.Settings, clock: Clock) -> None:
+    def __init__(self, settings: i.Settings, clock: Clock, account: Account | None = None) -> None:
+        """`account` has the memory for the lines."""
         self._settings, self._clock = settings, clock
+        self._account = account or own_account(UNBOUNDED)
+        self.passed_over = 0  # lines of new stores for which there was no memory
         self._stores: dict[str, Store] = {}
         self._excluded: set[str] = set()  # by hand; whatever the list says of them
         self._included_at: dict[str, float] = {}  # when stores were put back by hand: they may be cold
@@ -56,6 +66,7 @@
     def update(self, news: FleetNews) -> list[i.Member]:
         """Takes over a list, or changes to it; returns every line that it changes, for the Router."""
         if news.kind is not i.ListKind.PARTIAL:
+            self._account.give(STORE_BYTES * len(self._stores))
             self._stores.clear()
         members: list[i.Member] = []
         for store in news.stores:
@@ -73,16 +84,35 @@
         changed = []
         for other in [o for o in self._stores.values() if o.address == store.address and o.id != store.id]:
             if store.phase is not i.Phase.GONE and store.started_unix_ms >= other.started_unix_ms:
-                del self._stores[other.id]
+                self._drop(other.id)
                 changed.append(self._member(replace(other, phase=i.Phase.GONE)))
             else:
                 store = replace(store, phase=i.Phase.GONE)
-        if store.phase is i.Phase.GONE:
-            self._stores.pop(store.id, None)
-        else:
-            self._stores[store.id] = store
+        if store.phase is i.Phase.GONE or not self._keep(store):
+            self._drop(store.id)
+            store = replace(store, phase=i.Phase.GONE)
         return [*changed, self._member(store)]
 
+    def _keep(self, store: Store) -> bool:
+        """Keeps the line of a store; one that is new only where there is memory for it."""
+        if store.id not in self._stores:
+            if not self._account.allows(STORE_BYTES):
+                self._pass_over(store)
+                return False
+            self._account.take_always(STORE_BYTES)
+        self._stores[store.id] = store
+        return True
+
+    def _drop(self, store: str) -> None:
+        if self._stores.pop(store, None) is not None:
+            self._account.give(STORE_BYTES)
+
+    def _pass_over(self, store: Store) -> None:
+        """A list that is longer than the memory for it: what is not known is not used."""
+        self._account.refuse()
+        self.passed_over += 1
+        log.warning("store %s is passed over: no memory for more than %d", store.id, len(self._stores))
+
     def _member(self, store: Store) -> i.Member:
         started = max(self._started(store), self._included_at.get(store.id, 0.0))
         hidden = store.id in self._excluded and store.phase is i.Phase.UP
--- a/starlinghaven/routing/types.py
+++ b/starlinghaven/routing/types.py
@@ -6,10 +6,11 @@
 from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass, field
 from enum import Enum, auto
-from typing import Protocol
+from typing import Any, Protocol
 
 from starlinghaven import interface as i
 from starlinghaven.decisions.execution import Location
+from starlinghaven.routing.timers import Due
 
 
 class Result(Enum):
@@ -33,6 +34,18 @@
     tag: str = ""  # of the copy that was served
 
 
+class Asker(Protocol):
+    """Whose request it is, as far as its share of the memory goes."""
+
+    @property
+    def held(self) -> int:
+        """Bytes that its other open requests hold."""
+
+    @property
+    def alone(self) -> bool:
+        """Whether it asks for nothing else at this time, and has read what it was answered."""
+
+
 class Ticket(Protocol):
     """A front's hold on one request. The engine calls `answer` once, unless the client leaves.
 
@@ -87,6 +100,7 @@
     before: Sequence[Attempt] = ()  # the request's attempts, this one too
     link: object = None  # the connection on which it was written; its id is never used on it again
     put_off: bool = False  # its time-out was put off once, to read its answer
+    timer: Due[Any] | None = None  # its time-out
     written: bool = False  # it has gone out, in whole or in part, and may run
 
 
@@ -103,6 +117,9 @@
     note: int = 0
     waited_ms: float = 0.0
     report: Mapping[str, float] = field(default_factory=dict)
+    held: int = field(
+        default=0, compare=False
+    )  # bytes of the budget that its body holds, until it is handled
 
 
 class CacheSide(Protocol):
@@ -140,6 +157,8 @@
 
     ask: Ask
     ticket: Ticket
+    held: int = field(default=0, compare=False)  # bytes of the budget taken for it by `Engine.admit`
+    alone: bool = field(default=False, compare=False)  # its client asks for nothing else at this time
 
 
 @dataclass(frozen=True, slots=True)
--- a/starlinghaven/transport/channel.py
+++ b/starlinghaven/transport/channel.py
@@ -11,8 +11,9 @@
 
 import trio
 
+from starlinghaven.memory import Account, NoMemory
 from starlinghaven.transport import sockets
-from starlinghaven.transport.ring import Memory, NoMemory, Ring
+from starlinghaven.transport.ring import READ, Ring
 
 log = logging.getLogger(__name__)
 
@@ -31,7 +32,7 @@
 
     data: memoryview
     fd: int | None = None
-    counted: int = 0  # bytes of the shared memory that they hold
+    counted: int = 0  # bytes of the account that they hold
 
     def keep_descriptor(self) -> None:
         """The descriptor does not leave any more, if it has not."""
@@ -41,13 +42,13 @@
 class Channel:
     """Owns its end of the socket, and the descriptors that came in until they are taken.
 
-    What comes in is bounded by itself: a channel must work also where other connections hold all memory.
+    It has an account of its own: a channel must work also where other connections hold all memory.
     """
 
-    def __init__(self, sock: trio.socket.SocketType, memory: Memory, most_in: int) -> None:
-        """`memory` counts what waits to be written where `write` says so; `most_in`: bytes of a message."""
-        self._sock, self._memory = sock, memory
-        self._in = Ring(Memory(4 * most_in))  # a ring is twice as large as what it holds, at most
+    def __init__(self, sock: trio.socket.SocketType, account: Account) -> None:
+        """`account` is for what comes in, and for what waits to be written where `write` says so."""
+        self._sock, self._account = sock, account
+        self._in = Ring(account)
         self._queue: deque[Outgoing] = deque()
         self._work = trio.Event()
         self._idle = trio.Event()
@@ -56,14 +57,15 @@
 
     def write(self, data: bytes, counted: bool = False) -> None:
         """Queues bytes in order. Errors: NoMemory, if they are to be counted and there is none for them."""
-        if not self._queue and not self.closed:  # what it tells may be awaited, and the loop be slow
-            data = data[self._send_now(data) :]
-            if not data:
-                return
         held = len(data) if counted and not self.closed else 0
-        if held:
-            self._memory.take(held)
-        self._put(Outgoing(memoryview(data), counted=held))
+        self._account.take(held)
+        rest = memoryview(data)
+        if not self._queue and not self.closed:  # what it tells may be awaited, and the loop be slow
+            rest = rest[self._send_now(data) :]
+        if rest:
+            self._put(Outgoing(rest, counted=held))
+        else:
+            self._account.give(held)
 
     def _send_now(self, data: bytes) -> int:
         """Sends what the socket takes at once."""
@@ -114,12 +116,14 @@
             self._in.close()
             for fd in self._fds:
                 os.close(fd)
-            self._memory.give(sum(outgoing.counted for outgoing in self._queue))
+            self._account.give(sum(outgoing.counted for outgoing in self._queue))
             self._queue.clear()
             self._idle.set()
 
     async def _read_in(self, feed: Feed) -> None:
+        wanted = 1
         while True:
+            self._in.reserve(max(wanted, self._in.size + 1, READ))
             await trio.lowlevel.wait_readable(self._sock)  # what is read must not wait for the next turn
             try:
                 got, told, flags, _ = sockets.received(self._sock.fileno(), self._in.space(), _ANCILLARY)
@@ -134,7 +138,6 @@
                 return
             self._in.filled(got)
             wanted = await feed(self._in, self._fds)
-            self._in.reserve(max(wanted, self._in.size + 1))
 
     async def _write_out(self) -> None:
         while True:
@@ -151,8 +154,7 @@
             while outgoing.data:
                 outgoing.data = outgoing.data[await self._sock.send(outgoing.data) :]
             self._queue.popleft()
-            if outgoing.counted:
-                self._memory.give(outgoing.counted)
+            self._account.give(outgoing.counted)
 
 
 def _descriptors(data: bytes) -> list[int]:
--- a/starlinghaven/transport/connection.py
+++ b/starlinghaven/transport/connection.py
@@ -1,4 +1,4 @@
-"""One TCP connection: a ring each way, a reading and a writing task, one place that closes it all."""
+"""One TCP connection: a ring each way, a reading task, a writing one while there is something to write."""
 
 from __future__ import annotations
 
@@ -9,14 +9,16 @@
 import select
 import socket
 from collections.abc import Awaitable, Callable, Iterator
+from dataclasses import dataclass
 
 import trio
 
 from starlinghaven.containment import contained
+from starlinghaven.memory import Account, NoMemory
 from starlinghaven.transport import errors, sockets
 from starlinghaven.transport.input_age import InputAge
-from starlinghaven.transport.queue_age import undelivered_bytes
-from starlinghaven.transport.ring import Memory, NoMemory, Ring
+from starlinghaven.transport.queue_age import undelivered_bytes, unread_bytes
+from starlinghaven.transport.ring import READ, Ring
 from starlinghaven.transport.sockets import HUNG_UP
 
 log = logging.getLogger(__name__)
@@ -28,7 +30,12 @@
 MOST_UNSENT = 8 * 1024 * 1024  # bytes unsent at most: all open requests of a connection with full answers
 LINGER_S = 0.5  # seconds of a lingering close in which what the peer still sends is read and dropped
 MOST_DROPPED = HIGH_WATER  # bytes that are read and dropped in that time, at most
-MOST_PEEKED = 4 * 1024 * 1024  # bytes of unread input that are looked through
+MOST_PEEKED = 512 * 1024  # bytes of unread input that are looked through: the system holds no more
+PREPAID = 512  # bytes of each ring that a connection's own cost covers: short messages always pass
+COST = 8_704 + 2 * PREPAID  # bytes of a connection at rest: socket, task, the state of its protocol
+FULL_S = 0.05  # between two looks at a message for which the system may have no room
+PARTIAL_S = 0.02  # seconds until a large message is looked at again of which a part came in
+MOST_PARTIAL = 3  # such looks in a row that find nothing more: the system has no room for the rest
 
 Feed = Callable[[Ring], Awaitable[int]]
 """Takes what it can use from the ring; returns how many bytes the ring must hold before it can go on."""
@@ -38,35 +45,51 @@
 """Moves a resting connection to another process; whether that one owns it from now on."""
 
 
+@dataclass(frozen=True, slots=True)
+class ConnectionAccounts:
+    """Where connections of one kind take their memory from."""
+
+    connections: Account  # what each one costs, whatever it holds
+    input: Account
+    output: Account
+
+    @classmethod
+    def shared(cls, account: Account) -> ConnectionAccounts:
+        """All from one account."""
+        return cls(account, account, account)
+
+
 class Connection:
     """Owns a socket and its two rings. `serve` opens and closes them; others only write or abort.
 
     Another process can take it over: see `hand_over`, and `restore` there.
     """
 
+    __slots__ = (
+        *("_accounts", "_borrowed", "_dropped", "_ending", "_eof", "_half_closed", "_heard_at", "_in"),
+        "_input_age",
+        *("_low_water", "_nursery", "_out", "_pausing", "_peer", "_poll", "_queued", "_received"),
+        *("_resting", "_room", "_scope", "_seen_unread", "_settled", "_shunned_s", "_sock", "_transfer"),
+        *("_unsent_since", "_wanted", "_writing", "_written", "closed", "handed_over", "high_water"),
+        *("most_unsent_s", "on_linger", "reading", "__weakref__"),
+    )
+
     def __init__(
-        self,
-        sock: trio.socket.SocketType,
-        memory: Memory,
-        came_after: float | None = None,
-        spares: bool = False,
+        self, sock: trio.socket.SocketType, accounts: ConnectionAccounts, came_after: float | None = None
     ) -> None:
         """`came_after`: for one that waited to be accepted, when it can have come, on time.monotonic().
 
-        `spares`: what its peer does not read leaves a part of the memory free for others. Errors: NoMemory,
-        and OSError; the socket is still the caller's then.
+        Errors: NoMemory, and OSError; the socket is still the caller's then.
         """
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        self._sock, self._memory = sock, memory
-        self._in = Ring(memory)
-        try:
-            self._out = Ring(memory, spares)
-        except NoMemory:
-            self._in.close()
-            raise
+        accounts.connections.take(COST)
+        self._sock, self._accounts = sock, accounts
+        self._borrowed = 0  # bytes of its own cost that are paid back when it ends
+        self._in, self._out = Ring(accounts.input, PREPAID), Ring(accounts.output, PREPAID)
         self._scope = trio.CancelScope()
-        self._work = trio.Event()  # there is something to write, or to stop for
-        self._room = trio.Event()  # the peer has read
+        self._nursery: trio.Nursery | None = None  # of its tasks, while it is served
+        self._writing = False  # there is a writing task
+        self._room: trio.Event | None = None  # the peer has read; while that is awaited
         self._ending = False  # nothing more is taken or written: it closes, in order or at once
         self._half_closed = False
         self._received = 0
@@ -82,16 +105,34 @@
         self.on_linger: Callable[[], None] | None = None  # told once it has shut its sending side
         self._shunned_s: float | None = None
         self._transfer: Transfer | None = None  # how another process is to take it
-        self._settled = trio.Event()  # whether that one has is known
+        self._settled: trio.Event | None = None  # whether that one has is known
         self._pausing = False  # its tasks are to stop, so that it rests
         self._resting = False  # they have, and `_transfer` is at work
         self.handed_over = False
         self.closed = False
         self._eof = False  # the peer's end was read
         self.reading = False  # it waits for the peer's bytes, and for nothing else
-        self.heard_at = trio.current_time()  # when the last bytes came in
+        self._wanted = 1  # bytes that the ring must hold before there is more to use
+        self._low_water = 1  # unread bytes from which the system wakes the reading task
+        self._seen_unread = 0  # bytes of a large message that the system held at the last look
+        self._heard_at = trio.current_time()
         self._input_age = InputAge(sock, came_after)
 
+    @property
+    def heard_at(self) -> float:
+        """When the last bytes came in, on trio's clock, as far as that was looked at."""
+        if self._low_water > 1 and not self.closed:
+            self._note_unread(unread_bytes(self._sock.fileno()) or 0)
+        return self._heard_at
+
+    def _note_unread(self, unread: int) -> bool:
+        """Looks at how much the system holds of a large message; whether that is more than before."""
+        grown = unread > self._seen_unread
+        if grown:
+            self._heard_at = trio.current_time()
+        self._seen_unread = unread
+        return grown
+
     def unread_for_s(self) -> float:
         """Seconds since what was read last came in, at most: in the system's buffers, and here."""
         return self._input_age.unread_for_s()
@@ -143,42 +184,115 @@
             return 0
         return sum(events for _, events in self._poll.poll(0))
 
-    def write(self, data: bytes, instead: bytes = b"") -> bool:
+    # -- writing ----------------------------------------------------------------------------------
+
+    def has_room(self, size: int, leave: int = 0) -> bool:
+        """Whether so many bytes can be written, where `leave` bytes of the memory are to be left free."""
+        if self._out.size + size > MOST_UNSENT:
+            return False
+        cost = self._out.cost(self._out.size + size)
+        return self._accounts.output.allows(cost, leave) or not self._out.size and self._system_takes(size)
+
+    def _system_takes(self, size: int) -> bool:
+        """Whether the system surely takes so many bytes at once."""
+        try:
+            buffer = self._sock.getsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF)
+        except OSError:
+            return False
+        return undelivered_bytes(self._sock.fileno()) + size <= buffer // 2
+
+    def write(self, *pieces: bytes, instead: bytes = b"", leave: int = 0) -> bool:
         """Queues bytes in order, and says whether it did; a peer that leaves far too much unread is cut off.
 
-        Where memory is short, since other connections hold it, `instead` is written in place of `data`.
-        Without it, or where a part of `data` has left already, the connection is ended.
+        Where memory is short, since other connections hold it, or less than `leave` bytes would be left of
+        it, `instead` is written in place of them: a few bytes, which always pass. Without it the connection
+        is ended.
         """
         if self.closed or self._ending:
             return False
-        self._written = True
-        rest = data
-        try:
-            if self._out.size + len(data) > MOST_UNSENT:
-                raise NoMemory("the peer does not read")
-            if not self._out.size:  # else it would overtake what waits
-                rest = data[self._send_now(data) :]
-                self._unsent_since = trio.current_time()
-            if rest:
-                self._out.put(rest)
-                self._work.set()
-        except NoMemory:
-            self._queued += len(data) - len(rest)
-            if not instead or len(rest) < len(data):
-                self.abort()
-            else:
-                self.write(instead)
-            return False
-        self._queued += len(data)
-        return True
+        size = sum(map(len, pieces))
+        if self.has_room(size, leave):
+            self._queue(pieces, size)
+            return True
+        self._accounts.output.refuse()
+        if instead:
+            self._queue((instead,), len(instead))
+        else:
+            self.abort()
+        return False
 
-    def _send_now(self, data: bytes) -> int:
+    def _queue(self, pieces: tuple[bytes, ...], size: int) -> None:
+        self._written = True
+        self._queued += size
+        sent = 0
+        if not self._out.size:  # else it would overtake what waits
+            sent = self._send_now(pieces)
+            if sent == size:
+                return
+            self._unsent_since = trio.current_time()
+        for piece in pieces:
+            rest = memoryview(piece)[sent:]
+            sent = max(sent - len(piece), 0)
+            self._out.put(rest, always=True)
+        self._start_writing()
+
+    def _send_now(self, pieces: tuple[bytes, ...]) -> int:
         """Sends what the socket takes at once: mostly all, and no task needs to wake for it."""
         try:
-            return os.write(self._sock.fileno(), data)
+            return os.writev(self._sock.fileno(), pieces)
         except OSError:
             return 0  # full, or broken: the writing task waits, or meets the error
 
+    def _start_writing(self) -> None:
+        """Lets a task write what is queued, and close the connection where it is ending."""
+        if not self._writing and self._nursery is not None:
+            self._writing = True
+            self._nursery.start_soon(self._write_out)
+
+    async def _write_out(self) -> None:
+        try:
+            while self._out.size:
+                if not await self._write_some():
+                    return
+            if self._ending:
+                if not self._half_closed:
+                    self._half_close()
+                await trio.sleep(LINGER_S)
+                self._scope.cancel()
+        finally:
+            self._writing = False
+
+    async def _write_some(self) -> bool:
+        """Writes as much as the system takes; whether the writing goes on."""
+        undelivered = self.undelivered
+        with trio.move_on_after(STALL_S) as stalled:
+            try:
+                if self.most_unsent_s < math.inf:
+                    await trio.lowlevel.wait_writable(self._sock)
+                    if trio.current_time() > self._unsent_since + self.most_unsent_s:
+                        self._scope.cancel()  # what it says of time is not true any more
+                        return False
+                self._out.skip(await self._sock.send(self._out.head()))
+            except trio.ClosedResourceError:
+                if not self._pausing:
+                    raise
+                return False  # what is left goes on elsewhere, or here when it rests no more
+            except OSError as error:
+                if not errors.passes(error):
+                    self._scope.cancel()
+                    return False
+                await trio.sleep(PASSING_S)
+        if stalled.cancelled_caught and self.undelivered >= undelivered:
+            self._scope.cancel()
+            return False
+        self._note_room()
+        return True
+
+    def _note_room(self) -> None:
+        """Wakes the reading task that waits until the peer has read, or until it is to stop."""
+        if self._room is not None:
+            self._room.set()
+
     @property
     def peer(self) -> str:
         """The peer's address as text; "" where the socket can't tell (closed, or not IP)."""
@@ -202,8 +316,9 @@
         self._ending = True
         if not self._out.size:
             self._half_close()
-        self._work.set()
-        self._room.set()
+        self._set_low_water(1)  # what is half there is read and dropped too
+        self._start_writing()
+        self._note_room()
 
     def _half_close(self) -> None:
         self._half_closed = True
@@ -212,6 +327,8 @@
         if self.on_linger:
             self.on_linger()
 
+    # -- another process --------------------------------------------------------------------------
+
     async def hand_over(self, transfer: Transfer) -> bool:
         """Offers it to another process; whether that one has it.
 
@@ -221,7 +338,7 @@
         if not self.usable or self._shunned_s is not None:
             return False
         self._transfer, self._settled, self._pausing = transfer, trio.Event(), True
-        self._room.set()
+        self._note_room()
         trio.lowlevel.notify_closing(self._sock)  # wakes who waits for it, and closes nothing
         await self._settled.wait()
         return self.handed_over
@@ -238,8 +355,8 @@
 
     @property
     def memory(self) -> int:
-        """Bytes of the shared memory that its rings hold."""
-        return self._in.capacity + self._out.capacity
+        """Bytes of the budget that it holds."""
+        return COST + self._in.counted + self._out.counted
 
     def unread_came_after(self) -> float:
         """When what is unread, here and in the system, can have come at the earliest (time.monotonic())."""
@@ -253,7 +370,8 @@
     def unread_input(self) -> bytes:
         """What has come in and was not used, here and in the system, up to MOST_PEEKED; it all stays.
 
-        A fact may lie there that its reader has not come to: it may be behind other input, or wait.
+        A fact may lie there that its reader has not come to: it may be behind other input, or wait. Of a
+        large message that is not whole in the system nothing is looked at: nothing lies behind it.
         """
         if self.closed:
             return b""
@@ -273,10 +391,11 @@
         return (ring.peek(at, min(size, ring.size - at)) for at in range(0, ring.size, size))
 
     def cede(self) -> None:
-        """Another process owns it: drops what the rings hold, and cedes their memory."""
+        """Another process owns it: drops what the rings hold, and cedes the memory of it all."""
         self._queued -= self._out.size
         self._in.cede()
         self._out.cede()
+        self._accounts.connections.cede(COST, self._borrowed)
 
     def reserve(self, unread: int, unsent: int) -> None:
         """Makes room for what is to be restored from another process. Errors: NoMemory."""
@@ -285,9 +404,10 @@
         self._out.reserve(unsent)
 
     def borrow(self, most: int) -> int:
-        """Counts memory of its rings as borrowed, up to so many bytes; returns how many they are."""
-        of_output = self._out.borrow(most)
-        return of_output + self._in.borrow(most - of_output)
+        """Counts memory that it holds as borrowed, up to so many bytes; returns how many they are."""
+        self._borrowed = min(COST, most)
+        of_output = self._out.borrow(most - self._borrowed)
+        return self._borrowed + of_output + self._in.borrow(most - self._borrowed - of_output)
 
     def restore_unread(self, data: bytes, came_after: float) -> None:
         """Bytes that another process had read and not used; they came at `came_after` at the earliest."""
@@ -298,16 +418,24 @@
 
     def restore_unsent(self, data: bytes) -> None:
         """Bytes that another process had queued and the system had not taken."""
-        self._out.reserve(self._out.size + len(data))  # within what was reserved: nothing is to be spared
         self._out.put(data)
         self._queued += len(data)
 
+    # -- its end ----------------------------------------------------------------------------------
+
     def discard(self) -> None:
-        """Gives back one that was never served: its socket, without a word to the peer, and its rings."""
+        """Gives back one that was never served: its socket, without a word to the peer, and its memory."""
+        self._close()
+
+    def _close(self) -> None:
+        """The one place where its socket and its memory are given back."""
         self.closed = True
         self._sock.close()
+        self._queued -= self._out.size  # these never left
         self._in.close()
         self._out.close()
+        if not self.handed_over:
+            self._accounts.connections.give(COST, self._borrowed)
 
     def shun(self, seconds: float) -> None:
         """Reads nothing more for so long, then closes in order: what is queued goes out meanwhile.
@@ -326,7 +454,7 @@
         self._scope.cancel()
 
     async def serve(self, feed: Feed) -> None:
-        """Reads and writes until either side ends; gives socket and rings back.
+        """Reads and writes until either side ends; gives socket and memory back.
 
         Guards memory: an error that left a task here would leave frames, tasks and rings in a cycle, 10 KB a
         connection, until the collector looks at the oldest objects. It hardly ever does, and a crowd resets
@@ -336,8 +464,13 @@
             with self._scope:
                 while not self.handed_over:
                     async with trio.open_nursery() as nursery:
-                        nursery.start_soon(self._write_out)
-                        rests = await self._read_in(feed)
+                        self._nursery = nursery
+                        if self._out.size or self._ending:
+                            self._start_writing()
+                        try:
+                            rests = await self._read_in(feed)
+                        finally:
+                            self._nursery = None
                         nursery.cancel_scope.cancel()
                     if not rests:
                         break
@@ -345,13 +478,10 @@
         except* OSError:
             pass  # of what it feeds: the same as an end
         finally:
-            self.closed = True
-            self._sock.close()
-            self._in.close()
-            self._queued -= self._out.size  # these never left
-            self._out.close()
+            self._nursery = None
+            self._close()
             self.on_linger = None
-            self._settled.set()
+            self._note_settled()
 
     async def _be_taken(self) -> None:
         """Lets another process take it, unless it has begun to end; notes whether that one has."""
@@ -363,8 +493,14 @@
                     self.handed_over = await transfer()
         finally:
             self._transfer, self._resting = None, False
+            self._note_settled()
+
+    def _note_settled(self) -> None:
+        if self._settled is not None:
             self._settled.set()
 
+    # -- reading ----------------------------------------------------------------------------------
+
     async def _read_in(self, feed: Feed) -> bool:
         """Reads until the end; whether that is since another process is to have it."""
         if self._in.size and not await self._use(feed):
@@ -374,11 +510,9 @@
             while self._out.size > self.high_water and self.usable:
                 self._room = trio.Event()
                 await self._room.wait()
+                self._room = None
             if self._pausing:
                 break
-            awaited = not self._readable
-            self._input_age.look(readable=not awaited)
-            self.reading = True
             try:
                 got = await self._receive()
             except trio.ClosedResourceError:
@@ -390,14 +524,18 @@
                     await trio.sleep(PASSING_S)
                     continue
                 got = 0  # a reset ends it like the peer's end, and costs no more: see `serve`
+            except NoMemory as error:
+                log.warning("a connection ends: %s", error)
+                self.finish()
+                self._wanted = 1
+                continue
             finally:
                 self.reading = False
             if not got:
                 self._eof = True
                 return False
-            self.heard_at = trio.current_time()
+            self._heard_at = trio.current_time()
             self._received += got
-            self._input_age.read(got, awaited)
             self._in.filled(got)
             if self._ending:
                 self._in.skip(self._in.size)  # it crossed the close: nothing more is taken
@@ -409,68 +547,117 @@
         return True
 
     async def _receive(self) -> int:
-        """Reads into the ring what has come in; 0 at the peer's end.
+        """Reads into the ring what has come in; 0 at the peer's end. Errors: OSError, NoMemory.
 
         trio's own call hands on what it has read only in a later turn of the loop. Until then the bytes
         would be neither in the system's buffer nor in the ring, where `unread_input` looks.
         """
+        missing = self._wanted - self._in.size
+        if missing > READ and not self._ending and not self._takes_parts():
+            return await self._receive_rest(missing)
         while True:
-            try:
-                return os.readv(self._sock.fileno(), [self._in.space()])
-            except BlockingIOError:
+            awaited = not self._readable
+            self._input_age.look(readable=not awaited)
+            if awaited:
+                self.reading = True
                 await trio.lowlevel.wait_readable(self._sock)
+                self.reading = False
+            unread = unread_bytes(self._sock.fileno())
+            size = self._in.size + max(READ if unread is None else unread, 1)
+            await self._make_room(max(min(size, READ), self._wanted, self._in.size + 1), whole=False)
+            with contextlib.suppress(BlockingIOError):  # trio may wake too early
+                got = os.readv(self._sock.fileno(), [self._in.space()])
+                self._input_age.read(got, awaited)
+                return got
+
+    def _takes_parts(self) -> bool:
+        """Whether a large message is read as it comes in: it is faster, while half of the memory is free."""
+        account = self._accounts.input
+        if account.allows(self._in.cost(self._wanted), account.limit // 2):
+            self._in.reserve(self._wanted)
+        return self._in.capacity >= self._wanted
+
+    async def _receive_rest(self, missing: int) -> int:
+        """Reads the rest of a large message once the system has it whole; 0 at the peer's end.
+
+        Guards memory where it is short: peers that stop half-way through a message, or take long to write it,
+        hold none of it here. Where the system has no room for all of it, what is there is read.
+        """
+        fd = self._sock.fileno()
+        self._seen_unread, idle_looks = 0, 0
+        try:
+            while (unread := unread_bytes(fd)) is not None and unread < missing and not self._ending:
+                idle_looks = 0 if self._note_unread(unread) else idle_looks + 1
+                if self.hung_up:
+                    return 0
+                if idle_looks > MOST_PARTIAL:
+                    break
+                self._input_age.look(readable=True)
+                await self._wait_for(missing)
+        finally:
+            self._set_low_water(1)
+        whole = unread is not None and unread >= missing
+        size = min(missing, READ if unread is None else max(unread, 1))
+        await self._make_room(self._in.size + size, whole)
+        got = os.readv(fd, [self._in.space()[:size]])
+        self._input_age.read(got, awaited=False, to_last=whole)
+        return got
+
+    async def _wait_for(self, unread: int) -> None:
+        """Waits until the system holds so many bytes, or a little after it has woken this task with less."""
+        self._set_low_water(unread)
+        self.reading = True
+        with trio.move_on_after(FULL_S if self._may_fill_up(unread) else math.inf):
+            await trio.lowlevel.wait_readable(self._sock)
+            if (unread_bytes(self._sock.fileno()) or 0) < unread:
+                await trio.sleep(PARTIAL_S)
+            else:
+                self._input_age.note_wait_for(unread)
+        self.reading = False
+
+    def _may_fill_up(self, unread: int) -> bool:
+        """Whether the system may have no room for so many bytes: it stops its peer then, and wakes nobody."""
+        return unread > self._sock.getsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF) // 2
+
+    def _set_low_water(self, unread: int) -> None:
+        """Has the system wake the reading task at so many unread bytes, and make room for twice as many."""
+        if unread == self._low_water or self.closed:
+            return
+        with contextlib.suppress(OSError):  # where the system can't, it wakes the task more often
+            if unread > self._low_water:
+                self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVLOWAT, 2 * unread)
+            self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVLOWAT, unread)
+        self._low_water = unread
+
+    async def _make_room(self, size: int, whole: bool) -> None:
+        """Makes room for so many bytes in all, as soon as there is memory. Errors: NoMemory, after STARVED_S.
+
+        What makes a message whole may use all memory, since it is used at once. What may be kept until its
+        peer goes on leaves a part of it.
+        """
+        if not (cost := self._in.cost(size)):
+            self._in.reserve_taken(size)
+            return
+        account = self._accounts.input
+        leave = 0 if whole else account.limit // 2
+        if not whole and self._in.size < PREPAID and not account.allows(cost, leave):
+            size, cost = PREPAID, 0
+        with trio.move_on_after(STARVED_S) as starved:
+            if cost:
+                await account.wait_and_take(cost, leave)
+            self._in.reserve_taken(size)
+        if starved.cancelled_caught:
+            raise NoMemory(f"{account.name}: nothing for a message of {size} bytes")
 
     async def _use(self, feed: Feed) -> bool:
         """Hands on what came in; whether there is a reason to go on reading."""
         wanted = await feed(self._in)
+        if not self._in.size < wanted <= self._in.capacity:  # else the rest of a message comes in there
+            self._in.fit()
         if self._shunned_s is not None:
             self._in.skip(self._in.size)
             await trio.sleep(self._shunned_s)
             self.finish()
-            return True
-        return await self._grow(max(wanted, self._in.size + 1))
-
-    async def _grow(self, n: int) -> bool:
-        with trio.move_on_after(STARVED_S):
-            while True:
-                try:
-                    self._in.reserve(n)
-                    return True
-                except NoMemory:
-                    await self._memory.freed()
-        return False
-
-    async def _write_out(self) -> None:
-        while True:
-            if not self._out.size:
-                if self._ending:
-                    if not self._half_closed:
-                        self._half_close()
-                    await trio.sleep(LINGER_S)
-                    self._scope.cancel()
-                    return
-                self._work = trio.Event()
-                await self._work.wait()
-                continue
-            undelivered = self.undelivered
-            with trio.move_on_after(STALL_S) as stalled:
-                try:
-                    if self.most_unsent_s < math.inf:
-                        await trio.lowlevel.wait_writable(self._sock)
-                        if trio.current_time() > self._unsent_since + self.most_unsent_s:
-                            self._scope.cancel()  # what it says of time is not true any more
-                            return
-                    self._out.skip(await self._sock.send(self._out.head()))
-                except trio.ClosedResourceError:
-                    if not self._pausing:
-                        raise
-                    return  # what is left goes on elsewhere, or here when it rests no more
-                except OSError as error:
-                    if not errors.passes(error):
-                        self._scope.cancel()
-                        return
-                    await trio.sleep(PASSING_S)
-            if stalled.cancelled_caught and self.undelivered >= undelivered:
-                self._scope.cancel()
-                return
-            self._room.set()
+            wanted = 1
+        self._wanted = wanted
+        return True
--- a/starlinghaven/transport/input_age.py
+++ b/starlinghaven/transport/input_age.py
@@ -35,13 +35,20 @@
             room = self._sock.getsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF)
             self._queue.sample(length, time.monotonic(), full=length >= room * FULL_SHARE)
 
-    def read(self, count: int, awaited: bool) -> None:
-        """So many bytes were read; `awaited` if nothing was there at the look before."""
+    def read(self, count: int, awaited: bool, to_last: bool = False) -> None:
+        """So many bytes were read; `awaited` if nothing was there at the look before.
+
+        `to_last`: they end a message, whose time counts from the last of them.
+        """
         if awaited:  # nothing was there until the event loop looked for the last time before this
             self._queue.sample(0, time.monotonic() - arrivals.unread_for_s())
-        came_after = self._queue.take(count)
+        came_after = self._queue.take_to_last(count) if to_last else self._queue.take(count)
         self._read_came_after = came_after if came_after > -math.inf else math.inf
 
+    def note_wait_for(self, unread: int) -> None:
+        """The event loop has just found so many bytes unread; at its look before that there were fewer."""
+        self._queue.sample(unread - 1, time.monotonic() - arrivals.unread_for_s())
+
     def restored(self, came_after: float) -> None:
         """What another process had read came at this moment at the earliest."""
         self._read_came_after = came_after
--- a/starlinghaven/transport/listener.py
+++ b/starlinghaven/transport/listener.py
@@ -18,10 +18,9 @@
 
 from starlinghaven.containment import contained
 from starlinghaven.transport import arrivals, errors, sockets
-from starlinghaven.transport.connection import Connection
+from starlinghaven.transport.connection import COST, Connection, ConnectionAccounts
 from starlinghaven.transport.places import Places
 from starlinghaven.transport.queue_age import QueueAge, waiting_connections
-from starlinghaven.transport.ring import Memory
 
 log = logging.getLogger(__name__)
 
@@ -31,6 +30,7 @@
 FIRST_PAUSE_S = 0.001  # after one passing failure; doubled with each in a row, up to PAUSE_S
 LINGERING = 16  # connections in their lingering close beyond the places, at most a quarter of these
 MOST_FAILED = 8  # accepts that may fail in a row before there is a pause
+RECEIVE_BYTES = 128 * 1024  # asked of the system for what comes in and is not read: it holds twice as much
 
 NO_TICKET = object()  # of a connection that no gate was asked of
 
@@ -71,13 +71,13 @@
     def __init__(
         self,
         address: str,
-        memory: Memory,
+        accounts: ConnectionAccounts,
         most: int,
         passed: int | None = None,
         shared: bool = False,
         gate: Gate | None = None,
     ) -> None:
-        self._address, self._memory = split_address(address), memory
+        self._address, self._accounts = split_address(address), accounts
         self._most, self._places = most, Places(most)
         self._lingering: OrderedDict[Connection, None] = OrderedDict()
         self._shared = shared  # another process may listen on the address too
@@ -99,6 +99,11 @@
         """Connections held at once; beyond it, new ones wait in the kernel's accept queue."""
         return self._most if self._places.whole else self._places.limit(time.monotonic())
 
+    @property
+    def _full(self) -> bool:
+        """Whether there is no place for a further connection, or no memory: others may be about to end."""
+        return self.count >= self.most or not self._accounts.connections.allows(COST)
+
     async def open(self) -> None:
         """Listens from now on. Errors: OSError, where it lasts."""
         if self._passed is not None:
@@ -198,7 +203,7 @@
         failed = 0  # accepts in a row
         try:
             while True:
-                if self.count >= self.most:
+                if self._full:
                     await self._wait_for_place(make_room)
                     continue
                 awaited = self._look_at_queue()
@@ -225,7 +230,7 @@
     def _accept_more(self, nursery: trio.Nursery, serve: Serve) -> None:
         """Takes others that wait, without a turn of the loop for each: a turn may be long."""
         for _ in range(ACCEPTED_AT_ONCE):
-            if self.count >= self.most or (waiting := self._waiting()) is None:
+            if self._full or (waiting := self._waiting()) is None:
                 return
             sock, came_after = waiting
             self._begin(nursery, sock, serve, came_after)
@@ -237,7 +242,7 @@
         await trio.lowlevel.wait_readable(self._plain)
         if awaited:
             self._note_wait_over()
-        if self.count >= self.most:
+        if self._full:
             self._left = trio.Event()
             with contained(log, "making room for a connection"):
                 make_room()
@@ -298,7 +303,7 @@
             sock.close()
         else:
             self.count += 1
-            nursery.start_soon(self._one, sock, serve, ticket, came_after)
+            self._start(nursery, sock, serve, ticket, came_after)
 
     def _ticket(self, sock: trio.socket.SocketType) -> object | None:
         """What the gate says of a new connection; None: it was refused and is closed."""
@@ -314,18 +319,24 @@
             sock.close()
         return ticket
 
-    async def _one(
-        self, sock: trio.socket.SocketType, serve: Serve, ticket: object, came_after: float
+    def _start(
+        self,
+        nursery: trio.Nursery,
+        sock: trio.socket.SocketType,
+        serve: Serve,
+        ticket: object,
+        came_after: float,
     ) -> None:
-        """Serves an accepted connection, where there is memory for it."""
+        """Has an accepted connection served, where there is memory for it."""
         try:
-            connection = Connection(sock, self._memory, came_after, spares=True)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BYTES)
+            connection = Connection(sock, self._accounts, came_after)
         except Exception as error:  # mostly NoMemory or OSError; none may end the listener
             sock.close()
             log.warning("connection turned away: %s", error)
             self._release(None, ticket)
             return
-        await self._hold(connection, serve, ticket)
+        nursery.start_soon(self._hold, connection, serve, ticket)
 
     async def _hold(self, connection: Connection, serve: Serve, ticket: object) -> None:
         """Serves a connection; its place is free after that, whatever happens."""
--- a/starlinghaven/transport/pool.py
+++ b/starlinghaven/transport/pool.py
@@ -11,10 +11,10 @@
 import trio
 
 from starlinghaven.containment import contained
+from starlinghaven.memory import NoMemory
 from starlinghaven.transport import sockets
-from starlinghaven.transport.connection import Connection
+from starlinghaven.transport.connection import Connection, ConnectionAccounts
 from starlinghaven.transport.listener import split_address
-from starlinghaven.transport.ring import Memory, NoMemory
 
 log = logging.getLogger(__name__)
 
@@ -97,7 +97,7 @@
     def __init__(
         self,
         make: Callable[[Place, Connection], L],
-        memory: Memory,
+        accounts: ConnectionAccounts,
         *,
         dial_s: float,
         streams: int,
@@ -105,7 +105,7 @@
         most: int,
         whole_s: float = WHOLE_S,
     ) -> None:
-        self._make, self._memory, self._dial_s, self._whole_s = make, memory, dial_s, whole_s
+        self._make, self._accounts, self._dial_s, self._whole_s = make, accounts, dial_s, whole_s
         self._streams, self._idle_s, self._most = streams, idle_s, most
         self._links: dict[Place, list[L]] = {}
         self._dialing: dict[Place, _Dial] = {}
@@ -217,7 +217,7 @@
         sock = trio.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         try:
             await sock.connect(split_address(place[1]))
-            connection = Connection(sock, self._memory)
+            connection = Connection(sock, self._accounts)
         except BaseException:
             sock.close()
             raise
--- a/starlinghaven/transport/queue_age.py
+++ b/starlinghaven/transport/queue_age.py
@@ -80,9 +80,20 @@
 
         It is -inf where there was no sample before that.
         """
+        came_after = self._came_after()
+        self._taken += count
+        return came_after
+
+    def take_to_last(self, count: int) -> float:
+        """As `take`, for the last of them."""
+        self._taken += count - 1
+        came_after = self._came_after()
+        self._taken += 1
+        return came_after
+
+    def _came_after(self) -> float:
+        """When the next can have come at the earliest."""
         while len(self._samples) > 1 and self._samples[1][0] <= self._taken:
             del self._samples[0]
         come, at = self._samples[0] if self._samples else (math.inf, -math.inf)
-        came_after = at if come <= self._taken else -math.inf
-        self._taken += count
-        return came_after
+        return at if come <= self._taken else -math.inf
--- a/tests/steps.py
+++ b/tests/steps.py
@@ -7,9 +7,22 @@
 from typing import Any
 
 from starlinghaven import interface as i
+from starlinghaven.memory import own_account
 from starlinghaven.routing.clock import Clock
 from starlinghaven.routing.engine import Engine
-from starlinghaven.routing.types import Answer, Ask, Attempt, Counters, Event, FleetNews, Store
+from starlinghaven.routing.request_memory import Admission, EngineAccounts, admitted
+from starlinghaven.routing.types import (
+    Answer,
+    Ask,
+    Asker,
+    Attempt,
+    Counters,
+    Event,
+    FleetNews,
+    Store,
+    Taken,
+)
+from starlinghaven.transport.connection import ConnectionAccounts
 from tests.helpers import CACHE, HUB, OFFICE, ORIGIN, PARENT, SETTINGS
 
 KINDS = ((OFFICE, CACHE), (OFFICE, CACHE), (HUB, PARENT), (HUB, ORIGIN))
@@ -28,6 +41,11 @@
     raise AssertionError("it waits")
 
 
+def accounts(limit: int) -> ConnectionAccounts:
+    """All that connections hold, from one account with so many bytes."""
+    return ConnectionAccounts.shared(own_account(limit))
+
+
 class Time:
     """A clock that the steps move."""
 
@@ -88,9 +106,13 @@
         self.queued = self.sent = self.unsent = 0
         self.received = self.unread = 0
 
-    def write(self, data: bytes, instead: bytes = b"") -> bool:
+    def has_room(self, size: int, leave: int = 0) -> bool:
+        return True
+
+    def write(self, *pieces: bytes, instead: bytes = b"", leave: int = 0) -> bool:
         if self.closed:
             return False
+        data = b"".join(pieces)
         self.written.append(data)
         self.queued += len(data)
         if self.takes:
@@ -119,12 +141,16 @@
         self.time = Time()
         self.clock, self.events, self.counters = self.time.clock(), list[Event](), Counters()
         self.begins = True
+        self.accounts = EngineAccounts()
 
     def may_begin(self, attempt: Attempt) -> bool:
         return self.begins
 
-    def refuses_early(self, ask: Ask) -> bool:
-        return False
+    def admit(self, ask: Ask, asker: Asker) -> Admission | None:
+        return admitted(self.accounts.requests, ask, asker, asker.alone)
+
+    def withdraw(self, taken: Taken) -> None:
+        self.accounts.requests.give(taken.held)
 
     async def post(self, event: Event) -> None:
         self.events.append(event)
--- a/tests/test_arrivals.py
+++ b/tests/test_arrivals.py
@@ -22,8 +22,9 @@
 from starlinghaven.transport.connection import HIGH_WATER, Connection
 from starlinghaven.transport.listener import Listener
 from starlinghaven.transport.queue_age import QueueAge
-from starlinghaven.transport.ring import Memory, Ring
+from starlinghaven.transport.ring import Ring
 from tests.loopback import in_trio, program, until
+from tests.steps import accounts
 
 STOPPED_S, TTL_MS = 1.0, 2_000
 
@@ -142,7 +143,7 @@
 async def test_connections_that_come_together_after_a_long_rest_are_not_taken_for_old(tmp_path: Path) -> None:
     ages: list[float] = []
     arrivals.install()
-    listener = Listener("127.0.0.1:0", Memory(1 << 24), most=20)
+    listener = Listener("127.0.0.1:0", accounts(1 << 24), most=20)
     await listener.open()
 
     async def serve(connection: Connection) -> None:
@@ -182,7 +183,7 @@
 async def served(feed: Callable[[Connection, Ring], Awaitable[int]]) -> AsyncIterator[trio.SocketStream]:
     """A client's stream to a listener whose connections are fed to `feed`."""
     arrivals.install()
-    listener = Listener("127.0.0.1:0", Memory(1 << 26), most=20)
+    listener = Listener("127.0.0.1:0", accounts(1 << 26), most=20)
     await listener.open()
 
     async def serve(connection: Connection) -> None:
--- a/tests/test_backlog.py
+++ b/tests/test_backlog.py
@@ -11,9 +11,8 @@
 from starlinghaven.routing.inbox import CROWDED, Inbox
 from starlinghaven.routing.types import Ask, Counters, Taken
 from starlinghaven.transport.listener import ACCEPTED_AT_ONCE, Listener
-from starlinghaven.transport.ring import Memory
 from tests.loopback import free_port, in_trio
-from tests.steps import Recorder, Time
+from tests.steps import Recorder, Time, accounts
 from tests.test_system_calls import echo
 
 PATIENCE_MS, QUEUED_MS = 1_000.0, 900.0
@@ -34,18 +33,18 @@
     time.s += QUEUED_MS / 1000
     backlog.taken(first, clock.now())
     late = ask(clock.now())
-    assert not backlog.is_too_late(late, clock.now(), queued=False), "nothing waits: the wait is over"
+    assert not backlog.is_too_late(late, clock.now(), queues=True), "nothing waits: the wait is over"
     for _ in range(CROWDED):
         await inbox.post(Taken(late, Recorder()))
-    assert backlog.is_too_late(late, clock.now(), queued=False)
-    assert not backlog.is_too_late(late, clock.now(), queued=True), "its own time has only begun"
-    assert backlog.is_too_late(first, clock.now(), queued=True)
+    assert backlog.is_too_late(late, clock.now(), queues=True)
+    assert not backlog.is_too_late(late, clock.now(), queues=False), "its own time has only begun"
+    assert backlog.is_too_late(first, clock.now(), queues=False)
     assert counters["wait_queue_le_1000_ms"] == counters["wait_unread_le_1_ms"] == 1
 
 
 @in_trio
 async def test_connections_that_wait_are_accepted_in_one_turn_of_the_loop(tmp_path: Path) -> None:
-    listener = Listener(f"127.0.0.1:{free_port()}", Memory(1 << 22), 2 * ACCEPTED_AT_ONCE)
+    listener = Listener(f"127.0.0.1:{free_port()}", accounts(1 << 22), 2 * ACCEPTED_AT_ONCE)
     await listener.open()
     streams = [await trio.open_tcp_stream("127.0.0.1", listener.port) for _ in range(ACCEPTED_AT_ONCE)]
     async with trio.open_nursery() as nursery:
--- a/tests/test_bad_numbers.py
+++ b/tests/test_bad_numbers.py
@@ -15,6 +15,7 @@
 
 from starlinghaven import interface as i
 from starlinghaven.containment import CONTAINED
+from starlinghaven.memory import own_account
 from starlinghaven.program import config
 from starlinghaven.program.fronts.clients import Clients
 from starlinghaven.program.operations.handover import Handover
@@ -22,9 +23,9 @@
 from starlinghaven.routing.engine import Engine
 from starlinghaven.routing.types import Answer, Ask, Ended, Observer, Result, Taken
 from starlinghaven.transport.listener import Listener
-from starlinghaven.transport.ring import Memory, Ring
+from starlinghaven.transport.ring import Ring
 from tests.loopback import KEY, Archive, in_trio, program, until
-from tests.steps import Recorder, Stores, Time, engine
+from tests.steps import Recorder, Stores, Time, accounts, engine
 from tests.test_change_log import counted, purge_frame
 from tests.test_config import raw
 
@@ -195,7 +196,7 @@
         made += 1
         raise OverflowError("a defect at the start of a connection")
 
-    listener = Listener("127.0.0.1:0", Memory(1 << 20), 8)
+    listener = Listener("127.0.0.1:0", accounts(1 << 20), 8)
     await listener.open()
     clients = Clients(listener, make)
     async with trio.open_nursery() as nursery:
@@ -265,7 +266,7 @@
 
 def test_a_number_of_an_event_that_no_log_reaches_is_no_frame() -> None:
     """Guards against noise that passes for the last event: all true ones would count as known."""
-    ring = Ring(Memory(1 << 20))
+    ring = Ring(own_account(1 << 20))
     ring.put(struct.pack(">IQB", 9, 1 << 60, 0))
     with pytest.raises(ProtocolError):
         changelog.FrameReader().next(ring)
--- a/tests/test_cache_side.py
+++ b/tests/test_cache_side.py
@@ -13,6 +13,7 @@
 import trio.testing
 
 from starlinghaven import interface as i
+from starlinghaven.memory import own_account
 from starlinghaven.program import caches as module
 from starlinghaven.program.caches import CacheLink, Caches
 from starlinghaven.protocol import caches
@@ -21,9 +22,9 @@
 from starlinghaven.routing.types import Ask, Attempt, Counters, Ended
 from starlinghaven.transport.connection import Connection
 from starlinghaven.transport.pool import DialFailed
-from starlinghaven.transport.ring import Memory, Ring
+from starlinghaven.transport.ring import Ring
 from tests.loopback import Words, in_trio, until
-from tests.steps import Posts, Time, Wire, drive
+from tests.steps import Posts, Time, Wire, accounts, drive
 
 
 def attempt(number: int = 0) -> Attempt:
@@ -37,7 +38,7 @@
 
 
 def says(to: CacheLink, *words: bytes) -> None:
-    ring = Ring(Memory(1 << 20))
+    ring = Ring(own_account(1 << 20))
     ring.put(encode(*words))
     drive(to.feed(ring))
 
@@ -46,7 +47,7 @@
 async def side() -> AsyncIterator[tuple[Caches, Posts]]:
     posts = Posts()
     made = Caches(
-        cast(Engine, posts), ["video"], Memory(1 << 20), Counters(), dial_s=0.2, streams=9, idle_s=9, most=9
+        cast(Engine, posts), ["video"], accounts(1 << 20), Counters(), dial_s=0.2, streams=9, idle_s=9, most=9
     )
     async with trio.open_nursery() as nursery:
         nursery.start_soon(made.run)
--- a/tests/test_codecs.py
+++ b/tests/test_codecs.py
@@ -10,13 +10,14 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from starlinghaven.memory import own_account
 from starlinghaven.protocol import ProtocolError, caches, changelog, platform, resp
 from starlinghaven.protocol.resp import RespReader, encode, read_fields, write_fields
-from starlinghaven.transport.ring import Memory, Ring
+from starlinghaven.transport.ring import Ring
 
 
 def read_all(reader: Any, pieces: list[bytes]) -> list[Any]:
-    ring, got = Ring(Memory(1 << 24)), []
+    ring, got = Ring(own_account(1 << 24)), []
     for piece in pieces:
         ring.put(piece)
         while (one := reader.next(ring)) is not None:
@@ -152,14 +153,14 @@
 
 
 @given(st.integers(0, 40))
-def test_what_was_taken_of_a_half_read_array_can_be_read_again_elsewhere(at: int) -> None:
+def test_a_half_read_array_stays_in_its_ring_and_can_be_read_again_elsewhere(at: int) -> None:
     """A connection that changes hands must go on in the middle of a message."""
     text = encode(b"RPC.CALL", b"7", b"", b"x" * 9, b"")
-    one, other = Ring(Memory(1 << 20)), Ring(Memory(1 << 20))
+    one, other = Ring(own_account(1 << 20)), Ring(own_account(1 << 20))
     reader = RespReader(words=5, word_bytes=100, body_at=4, body_bytes=100)
     one.put(text[:at])
     whole = reader.next(one)
-    other.put(reader.rest() + one.take(one.size) + text[at:])
+    other.put(one.take(one.size) + text[at:])
     again = RespReader(words=5, word_bytes=100, body_at=4, body_bytes=100).next(other)
     assert (whole or again) == [b"RPC.CALL", b"7", b"", b"x" * 9, b""] and not (whole and again)
 
@@ -169,7 +170,7 @@
     """The short way is for speed alone: it must neither take nor refuse anything else."""
 
     def read(at_once: int) -> tuple[list[list[bytes]], bool]:
-        ring, found = Ring(Memory(1 << 20)), list[list[bytes]]()
+        ring, found = Ring(own_account(1 << 20)), list[list[bytes]]()
         ring.put(data)
         reader = RespReader(words=5, word_bytes=60, body_at=4, body_bytes=300)
         with mock.patch.object(resp, "AT_ONCE", at_once):
@@ -184,7 +185,7 @@
 
 
 def test_a_short_array_is_taken_out_of_the_ring_in_one_go() -> None:
-    ring = Ring(Memory(1 << 20))
+    ring = Ring(own_account(1 << 20))
     ring.put(encode(b"GET", b"7", b"-", b""))
     with mock.patch.object(Ring, "take", autospec=True, side_effect=Ring.take) as take:
         reader = RespReader(words=5, word_bytes=100, body_at=4, body_bytes=100)
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -13,8 +13,8 @@
 import trio
 
 from starlinghaven.program import config
-from starlinghaven.program.core import PROCESS
-from starlinghaven.program.daemon import Daemon
+from starlinghaven.program.daemon import Daemon, divided
+from starlinghaven.program.memory_plan import INTERPRETER
 from starlinghaven.program.operations.operator import Operator
 from tests.loopback import ROOT, STORES, Archive, configuration
 
@@ -103,25 +103,9 @@
     """Usual clients hold a third of all at most, and others come on top of them."""
 
     async def made() -> Daemon:
-        return Daemon(config.parse(raw() | {"limits": {"sockets": sockets}}, {}), Operator())
+        cfg = config.parse(raw() | {"limits": {"sockets": sockets}}, {})
+        return Daemon(cfg, Operator(), divided(cfg, Operator(), INTERPRETER))
 
     daemon = trio.run(made)
     clients, stores = daemon._listeners[0].most, daemon.core.caches.pool._most
     assert clients >= sockets // 3 + 16 and stores >= 64 and clients + stores <= sockets - 24
-
-
-@pytest.mark.parametrize("mb", [32, 64, 80, 192])
-def test_two_processes_of_an_upgrade_fit_into_the_memory_of_one(mb: int) -> None:
-    """Each takes a part of the rings and copies that one alone may have."""
-
-    async def made(env: dict[str, str]) -> tuple[int, int, int]:
-        more = {"limits": {"memory_mb": mb, "sockets": 384}, "flow_bytes_per_s": 1e5, "link_bytes_per_s": 1e6}
-        core = Daemon(config.parse(raw() | more, env), Operator()).core
-        assert core.engine.own_copies.copies is not None
-        return core.memory.limit, core.engine.own_copies.copies.limit, core.caches.pool._most
-
-    alone, beside = trio.run(made, {}), trio.run(made, {"LB_PASSED_SOCKET": "4"})
-    total = mb << 20
-    assert beside[0] <= alone[0] / 2 and beside[1] <= alone[1] <= total / 8 and beside[2] < alone[2]
-    assert alone[1] <= max(total - PROCESS, 0) / 2 and 2 * beside[1] <= max(total - 2 * PROCESS, 0)
-    assert alone[1] >= total / 16 - (1 << 20), "and enough is left to be of use"
--- a/tests/test_copies.py
+++ b/tests/test_copies.py
@@ -9,6 +9,7 @@
 from hypothesis import strategies as st
 
 from starlinghaven import interface as i
+from starlinghaven.memory import own_account
 from starlinghaven.routing.copies import ENTRY, Copies
 from starlinghaven.routing.engine import Engine
 from starlinghaven.routing.types import Ask, Counters, Ended, FleetNews, PurgeNews, Result, Taken
@@ -26,7 +27,7 @@
     def __init__(self) -> None:
         self.time, self.stores = Time(), Stores()
         clock = self.time.clock()
-        self.copies = Copies(64_000, FLOW, LINK, clock)
+        self.copies = Copies(own_account(64_000), FLOW, LINK, clock)
         settings = replace(SETTINGS, second_copies=False)
         self.engine = Engine(settings, 7, clock, Counters(), self.copies)
         self.engine.caches = self.stores
@@ -138,7 +139,7 @@
 def test_all_that_is_put_on_the_link_is_booked_and_never_more_than_it_carries() -> None:
     """Frames and answers without bytes weigh too: what is not booked piles up through a long day."""
     time = Time()
-    copies = Copies(64_000, FLOW, LINK, time.clock())
+    copies = Copies(own_account(64_000), FLOW, LINK, time.clock())
     for _ in range(100):
         copies.sent(10_000)
     booked = copies.ready_ms(10_000)
@@ -153,7 +154,7 @@
 def test_the_bytes_held_are_counted_and_bounded(steps: list[tuple[int, int, int, bool]]) -> None:
     """A model of the store: its count is what it holds, and what has a rank outlives what has none."""
     time = Time()
-    copies = Copies(40_000, FLOW, LINK, time.clock())
+    copies = Copies(own_account(40_000), FLOW, LINK, time.clock())
     for n, size, rank, purge in steps:
         ask = Ask("", VIDEO, 0.0, 0.0, key=str(n), group=n % 4)
         time.s += 1
@@ -174,7 +175,7 @@
 
 def test_what_is_asked_for_again_outlives_what_is_asked_for_once() -> None:
     """A hot object is served from here alone: nothing else would raise the rank it came with."""
-    copies = Copies(40_000, FLOW, LINK, Time().clock())
+    copies = Copies(own_account(40_000), FLOW, LINK, Time().clock())
     end = Ended(None, i.Code.OK, b"z" * 3_000, since_ms=1.0)  # type: ignore[arg-type]
     asks = [Ask("", VIDEO, 0.0, 0.0, key=str(n)) for n in range(50)]
     copies.put(asks[0], end, 0)
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -30,10 +30,10 @@
 from starlinghaven.transport.connection import MOST_DROPPED, Connection
 from starlinghaven.transport.listener import LINGERING, Listener
 from starlinghaven.transport.pool import DialFailed
-from starlinghaven.transport.ring import Memory, Ring
+from starlinghaven.transport.ring import Ring
 from tests.helpers import PAY, Driver
 from tests.loopback import KEY, SETTINGS, Program, free_port, in_trio, program, until
-from tests.steps import STORES, Recorder, Stores, Time, engine
+from tests.steps import STORES, Recorder, Stores, Time, accounts, engine
 from tests.test_transport import echo, pool
 
 RESET = struct.pack("ii", 1, 0)  # SO_LINGER with no time: closing resets
@@ -62,8 +62,8 @@
 
 @asynccontextmanager
 async def clients(most: int = 4) -> AsyncIterator[tuple[Clients, Listener, list[Rest]]]:
-    memory, links = Memory(1 << 22), list[Rest]()
-    listener = Listener(f"127.0.0.1:{free_port()}", memory, most)
+    given, links = accounts(1 << 26), list[Rest]()
+    listener = Listener(f"127.0.0.1:{free_port()}", given, most)
 
     def make(connection: Connection) -> Rest:
         links.append(Rest(connection))
@@ -76,7 +76,7 @@
         nursery.start_soon(made.run)
         yield made, listener, links
         nursery.cancel_scope.cancel()
-    assert listener.count == 0 and memory.used == 0, "all is given back"
+    assert listener.count == 0 and given.input.memory.used == 0, "all is given back"
 
 
 def dial(port: int) -> socket.socket:
@@ -298,7 +298,7 @@
 
 @in_trio
 async def test_a_dial_without_a_descriptor_fails_for_who_waits_and_the_pool_goes_on(tmp_path: Path) -> None:
-    async with echo() as address, pool(Memory(1 << 20)) as p:
+    async with echo() as address, pool(accounts(1 << 20)) as p:
         with descriptors(0):
             for _ in range(2):
                 with pytest.raises(DialFailed):
@@ -347,7 +347,7 @@
 async def test_no_link_that_ends_on_either_side_or_does_not_read_takes_an_attempt(tmp_path: Path) -> None:
     with socket.create_server(("127.0.0.1", 0)) as server:
         place = ("s", f"127.0.0.1:{server.getsockname()[1]}")
-        async with pool(Memory(1 << 24)) as p:
+        async with pool(accounts(1 << 24)) as p:
             for how in ("abort", "finish", "fin", "reset", "fin behind data", "unread"):
                 link = await p.link(place)
                 other, _ = server.accept()
@@ -378,7 +378,7 @@
     """Bytes go on coming, so that it is never stuck: what a class waits at most is the bound."""
     with pytest.MonkeyPatch.context() as patch:
         patch.setattr(pool_module, "STUCK_S", 0.1)
-        async with echo() as address, pool(Memory(1 << 20), whole_s=2.0) as p:
+        async with echo() as address, pool(accounts(1 << 20), whole_s=2.0) as p:
             link = await p.link(("s", address))
             link.begin()
             link.reads(amid=True)
--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -14,7 +14,7 @@
 from starlinghaven.lab import crowds
 from starlinghaven.lab.crowds import CrowdKind
 from starlinghaven.lab.process_memory import memory_of
-from starlinghaven.lab.sized_archive import SizedArchive
+from starlinghaven.lab.sized_archive import RemoteArchive
 from starlinghaven.lab.usual import Ending, Outcome, RequestKind, UsualClient
 from tests.loopback import SETTINGS, in_trio, program
 
@@ -62,7 +62,7 @@
     """Plays a crowd of these kinds beside one usual client."""
     settings = SETTINGS | {"Classes": [cls | OPEN_ALL for cls in SETTINGS["Classes"]]}
     limits = {"cores": 1.0, "memory_mb": memory_mb, "sockets": sockets}
-    archive = SizedArchive(delay_s)
+    archive = RemoteArchive(delay_s)
     async with program(folder, more={"limits": limits, "settings": settings}, archive=archive) as p:
         address = ("127.0.0.1", p.port)
         client = UsualClient(address, Random(1), usual)
--- a/tests/test_event_orders.py
+++ b/tests/test_event_orders.py
@@ -12,6 +12,7 @@
 from starlinghaven import interface as i
 from starlinghaven.decisions.execution import ExecutionRecord
 from starlinghaven.lab import effects
+from starlinghaven.memory import own_account
 from starlinghaven.routing.copies import Copies
 from starlinghaven.routing.engine import Engine
 from starlinghaven.routing.types import (
@@ -101,7 +102,7 @@
     def __init__(self, case: Case) -> None:
         self.case, self.time, self.ticket = case, Time(), Recorder()
         clock = self.time.clock()
-        self.copies = Copies(64_000, 50_000.0, 200_000.0, clock)
+        self.copies = Copies(own_account(64_000), 50_000.0, 200_000.0, clock)
         self.engine = Engine(case.settings, 7, clock, Counters(), self.copies)
         self.engine.caches = self
         self.dialing: list[Attempt] = []
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -17,22 +17,25 @@
 import pytest
 import trio
 
+from starlinghaven.lab.process_memory import memory_of
+from starlinghaven.memory import Memory, NoMemory, own_account
 from starlinghaven.program.fronts import giver as giver_module
 from starlinghaven.program.fronts.giver import Giver
 from starlinghaven.program.fronts.platform import PlatformFront
-from starlinghaven.program.fronts.taker import Taker
+from starlinghaven.program.fronts.taker import HandoverAccounts, Taker
 from starlinghaven.protocol import handover
 from starlinghaven.protocol.resp import encode
 from starlinghaven.routing.engine import Engine
 from starlinghaven.routing.types import Answer, Counters, Left, Result, Taken
+from starlinghaven.transport.connection import COST, ConnectionAccounts
 from starlinghaven.transport.listener import Listener
-from starlinghaven.transport.ring import KEPT_FREE, SMALL, Memory, NoMemory, Ring
+from starlinghaven.transport.ring import Ring
 from tests.helpers import SETTINGS
 from tests.loopback import Archive, Client, Program, Words, in_trio, program, until
 from tests.steps import Posts
 from tests.test_change_log import counted
 
-LIMIT = 8 << 20  # bytes of memory for the rings of one process
+LIMIT = 16 << 20  # bytes of memory for all that one process holds
 BODY = bytes(range(256)) * 940  # of an answer: near the 240,000 bytes that the platform allows
 CALLS = itertools.count(1)
 
@@ -42,9 +45,21 @@
 
     def __init__(self, limit: int = LIMIT) -> None:
         self.memory, self.posts = Memory(limit, 2 * limit), Posts()
-        self.listener = Listener("127.0.0.1:0", self.memory, 16)
+        self.account = self.memory.account("all")
+        clients = ConnectionAccounts.shared(self.account)
+        self.handover = HandoverAccounts(clients, own_account(1 << 24))
+        self.listener = Listener("127.0.0.1:0", clients, 16)
         engine, names = cast(Engine, self.posts), ("video", "page", "pay")
-        self.front = PlatformFront(engine, SETTINGS, names, lambda: b"READY", self.listener, Counters())
+        self.front = PlatformFront(
+            engine,
+            SETTINGS,
+            names,
+            lambda: b"READY",
+            self.listener,
+            Counters(),
+            answers=self.account,
+            tags=own_account(1 << 20),
+        )
 
     @property
     def taken(self) -> list[Taken]:
@@ -117,7 +132,7 @@
 
 
 def give(nursery: trio.Nursery, older: Side, sock: trio.socket.SocketType) -> Giver:
-    giver = Giver(sock, older.memory, older.front)
+    giver = Giver(sock, older.handover.channel, older.front)
     nursery.start_soon(giver.run)
     nursery.start_soon(older.front.hand_over, giver)
     return giver
@@ -126,7 +141,7 @@
 def join(nursery: trio.Nursery, older: Side, newer: Side) -> None:
     """The older process hands its clients to the newer one."""
     one, other = trio.socket.socketpair(socket.AF_UNIX)
-    nursery.start_soon(Taker(other, newer.memory, newer.front).run)
+    nursery.start_soon(Taker(other, newer.handover, newer.front).run)
     give(nursery, older, one)
 
 
@@ -134,7 +149,7 @@
     """The other end of the channel, played by a test."""
 
     def __init__(self, sock: trio.socket.SocketType) -> None:
-        self.sock, self._reader, self._ring = sock, handover.FrameReader(), Ring(Memory(1 << 26))
+        self.sock, self._reader, self._ring = sock, handover.FrameReader(), Ring(own_account(1 << 26))
         self.fds: list[int] = []
 
     async def read(self) -> handover.Frame | None:
@@ -193,8 +208,7 @@
     older, newer = Side(), Side()
     async with sides(older, newer) as nursery:
         clients = [await laden(older, 8) for _ in range(3)] + [await laden(newer, 8) for _ in range(3)]
-        filled = newer.memory.limit - newer.memory.used - newer.memory.kept_free
-        newer.memory.take(max(filled, 0))
+        newer.account.take(newer.account.free - newer.memory.limit // 8)
         assert min(link.connection.unsent for link in older.front.clients.all) > len(BODY)
         total = older.memory.limit + newer.memory.limit
         join(nursery, older, newer)
@@ -216,8 +230,8 @@
     async with sides(older, newer) as nursery:
         client, idle = await laden(older, 8), await caller(older)
         newer.memory.borrow(LIMIT)
-        newer.memory.take(newer.memory.limit - 4 * SMALL)
-        newer.memory._most = newer.memory.limit + 4 * SMALL
+        newer.account.take_always(newer.memory.limit - 2 * COST)
+        newer.memory._most = newer.memory.limit + 2 * COST
         join(nursery, older, newer)
         await until(lambda: older.count("connections_refused") >= 2)
         assert newer.count("connections_taken_over") == 1, "the idle one, which is small"
@@ -235,8 +249,8 @@
     """Guards the channel: the system drops a descriptor without a word where the limit is reached."""
     newer, (sock, older) = Side(), pair()
     async with sides(newer) as nursery:
-        nursery.start_soon(Taker(sock, newer.memory, newer.front).run)
-        offer = handover.Offered(1, 2 * SMALL, 0, 0, trio.current_time(), handover.Tags(0, (), ()))
+        nursery.start_soon(Taker(sock, newer.handover, newer.front).run)
+        offer = handover.Offered(1, COST, 0, 0, trio.current_time(), handover.Tags(0, (), ()))
         await older.say(offer)
         assert isinstance(await older.read(), handover.Refused)
         one, other = tcp_pair()
@@ -324,11 +338,11 @@
     """Guards against half an answer in the name of a whole one, and memory that is never paid back."""
     newer, (sock, older) = Side(), pair()
     async with sides(newer) as nursery:
-        nursery.start_soon(Taker(sock, newer.memory, newer.front).run)
+        nursery.start_soon(Taker(sock, newer.handover, newer.front).run)
         one, other = tcp_pair()
         with one, other:
             tags = handover.Tags(1, (), ())
-            offer = handover.Offered(1, SMALL + (1 << 20), 0, len(BODY), trio.current_time(), tags)
+            offer = handover.Offered(1, COST + (1 << 20), 0, len(BODY), trio.current_time(), tags)
             await older.say(offer, one.fileno())
             assert await older.read() == handover.Accepted(1)
             await older.say(handover.Unsent(1, BODY[:1000]))
@@ -350,12 +364,12 @@
         with one, other:
             answer = encode(b"1", b"RESULT", b"", b"x")
             size, tags = len(answer), handover.Tags(2, (), (2,))
-            await older.say(handover.Offered(1, 2 * SMALL, 0, size, trio.current_time(), tags), one.fileno())
+            await older.say(handover.Offered(1, COST, 0, size, trio.current_time(), tags), one.fileno())
             await older.say(handover.Unsent(1, answer))
             await older.say(handover.Complete(1))
             one.close()
             older.end()
-            nursery.start_soon(Taker(sock, newer.memory, newer.front).run)
+            nursery.start_soon(Taker(sock, newer.handover, newer.front).run)
             words = Words(trio.SocketStream(trio.socket.from_stdlib_socket(other)))
             assert await words.read() == [b"1", b"RESULT", b"", b"x"]
             assert await words.read() == [b"2", b"ABORTED", b"", b""], "nobody answers it any more"
@@ -395,7 +409,7 @@
     """Guards the first upgrade to this release: that process lets a connection go in one frame."""
     newer, (sock, older) = Side(), pair()
     async with sides(newer) as nursery:
-        nursery.start_soon(Taker(sock, newer.memory, newer.front).run)
+        nursery.start_soon(Taker(sock, newer.handover, newer.front).run)
         one, other = tcp_pair()
         unread = encode(b"RPC.CALL", b"2", b"video", b"call=%016x,ttl=900,row=%016x" % (7, 7))
         await older.say(handover.Handed(1, handover.Tags(1, (), (1,)), unread[:50], b""), one.fileno())
@@ -437,7 +451,7 @@
 @in_trio
 async def test_an_upgrade_under_slow_readers_loses_none_of_their_answers(tmp_path: Path) -> None:
     """Guards answers given and not yet read: both processes hold about as much of them as each may."""
-    archive, limits = LargeArchive(), {"limits": {"cores": 1.0, "memory_mb": 64, "sockets": 256}}
+    archive, limits = LargeArchive(), {"limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256}}
     with tempfile.TemporaryDirectory(prefix="up", dir="/tmp") as shared:
         with socket.create_server(("127.0.0.1", 0)) as passed:
             passed.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)  # clients' sockets inherit it
@@ -449,9 +463,11 @@
                     old.process.send_signal(signal.SIGSTOP)  # else it may accept the next ones
                     clients += [await slow_reader(new, 8) for _ in range(4)]
                     await served(new, 32)
+                    peak_mb = memory_of(old.process.pid).peak_mb
                     old.process.send_signal(signal.SIGTERM)
                     old.process.send_signal(signal.SIGCONT)
                     assert await old.exit_code() == 0
+                    assert peak_mb + memory_of(new.process.pid).peak_mb <= 192
                     for client in clients:
                         answers = [await client.words.read() for _ in range(8)]
                         assert [(a[1], a[3]) for a in answers if a] == [(b"RESULT", BODY)] * 8
@@ -475,19 +491,20 @@
 def test_memory_moves_between_two_processes_and_is_never_there_twice() -> None:
     """Guards the limit that both processes of an upgrade share."""
     one, other = Memory(100, 200), Memory(100, 200)
-    one.take(80)
-    other.take(100)
+    ours, theirs = one.account("all"), other.account("all")
+    ours.take(80)
+    theirs.take(100)
     with pytest.raises(NoMemory):
-        other.take(1)
+        theirs.take(1)
     other.borrow(60)
-    other.take(60)
-    one.cede(60)
+    theirs.take(60)
+    ours.cede(60)
     assert (one.used, one.limit, other.used, other.limit) == (20, 40, 160, 160)
-    other.give(50, borrowed=50)
+    theirs.give(50, borrowed=50)
     assert (other.used, other.limit) == (110, 110), "paid back, not free"
-    other.give(30)
+    theirs.give(30)
     assert (other.used, other.limit) == (80, 110), "its own: free again"
-    other.cede(40, borrowed=10)
+    theirs.cede(40, borrowed=10)
     assert (other.used, other.limit) == (40, 70)
     with pytest.raises(NoMemory):
         other.borrow(131)
@@ -496,13 +513,14 @@
 def test_input_that_comes_and_goes_keeps_its_room_while_memory_is_borrowed() -> None:
     """Guards usual clients of a newer process: what slow readers borrowed is paid back by them alone."""
     memory = Memory(1 << 20, 1 << 21)
+    account = memory.account("all")
     memory.borrow(1 << 19)
-    slow = Ring(memory)
+    slow = Ring(account)
     slow.reserve(1 << 19)
     assert slow.borrow(1 << 19) == 1 << 19
     free = memory.limit - memory.used
     for _ in range(100):
-        usual = Ring(memory)
+        usual = Ring(account)
         usual.put(bytes(100_000))
         usual.close()
     assert memory.limit - memory.used == free
@@ -512,10 +530,9 @@
 
 def test_output_to_slow_readers_leaves_room_for_new_connections() -> None:
     """Guards new clients in a process whose memory slow readers hold."""
-    memory = Memory(1 << 20)
+    account = own_account(1 << 20)
     with contextlib.suppress(NoMemory):
         for _ in range(100):
-            Ring(memory, spares=True).put(bytes(100_000))
-    free = memory.limit - memory.used
-    assert free >= KEPT_FREE * memory.limit - SMALL
-    Ring(memory).put(bytes(free // 4))
+            Ring(account).put(bytes(100_000), leave=account.reserve)
+    assert account.free >= account.reserve > 0
+    Ring(account).put(bytes(account.free // 4))
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -11,7 +11,7 @@
 ALLOWED = {
     "decisions": {"decisions", "interface"},  # parts of the Router: pure, they know nothing else
     "transport": {"transport"},
-    "protocol": {"transport", "protocol"},
+    "protocol": {"transport", "protocol", "memory"},
     "routing": {"protocol", "routing", *MODULE} - {"protocol"},
     "health": {"health", "kdl"},  # beside routing: pure, it knows neither the engine nor any wire
     "admission": {"admission", "kdl"},  # beside routing: pure, like health
@@ -44,12 +44,12 @@
     seen = 0
     for layer, allowed in ALLOWED.items():
         for path in (ROOT / layer).rglob("*.py"):
-            assert imported(path) <= (allowed if layer in PURE else allowed | {"containment"}), path
+            assert imported(path) <= (allowed if layer in PURE else allowed | {"containment", "memory"}), path
             seen += 1
     assert seen >= 25
     assert imported(ROOT / "router.py") == {"interface", "decisions"}
     assert imported(ROOT / "interface.py") == set()
-    assert imported(ROOT / "containment.py") == set()
+    assert imported(ROOT / "containment.py") == imported(ROOT / "memory.py") == set()
 
 
 def test_the_engine_knows_no_wire() -> None:
--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -12,6 +12,7 @@
 
 from starlinghaven import interface as i
 from starlinghaven.decisions.purges import COUNTS_AS_KNOWN_MS, PurgeTable
+from starlinghaven.memory import own_account
 from starlinghaven.protocol.changelog import Progress
 from starlinghaven.routing.copies import Copies
 from starlinghaven.routing.engine import Engine
@@ -158,7 +159,7 @@
 
 def proxy() -> tuple[Engine, Time, Stores]:
     time, stores = Time(), Stores()
-    copies = Copies(64_000, 50_000.0, 200_000.0, time.clock(), CLEARED_MS)
+    copies = Copies(own_account(64_000), 50_000.0, 200_000.0, time.clock(), CLEARED_MS)
     made = Engine(replace(SETTINGS, second_copies=False), 7, time.clock(), Counters(), copies)
     made.caches = stores
     made.handle(FleetNews(i.ListKind.COMPLETE, STORES))
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -7,6 +7,9 @@
 
 from starlinghaven import router as module
 from starlinghaven.decisions import popularity
+from starlinghaven.decisions.rankings import Rankings
+from starlinghaven.decisions.stores import StoreState
+from starlinghaven.decisions.table_sizes import RANKED_STORE_BYTES, RANKING_BYTES, TableSizes
 from starlinghaven.interface import Get, ListKind, Member, Members, Phase, Send
 from tests.helpers import FLEET, PAGE, PAY, Driver, cache, drained, parent
 
@@ -54,9 +57,9 @@
     d.now += popularity.HALVE_MS
     d.serve("b")
     assert d.router.popularity.counts["a"] == 2
-    for n in range(popularity.COUNTS + 50):
+    for n in range(TableSizes().counts + 50):
         d.serve(f"n-{n}")
-    assert len(d.router.popularity.counts) <= popularity.COUNTS
+    assert len(d.router.popularity.counts) <= TableSizes().counts
     assert "a" in d.router.popularity.counts, "the lowest count is dropped, not a higher one"
 
 
@@ -133,4 +136,16 @@
             assert got.source == plain_home(f"o-{n}", parents[drop:])
         gone = (replace(caches[drop], phase=Phase.GONE), drained(parents[drop]))
         d.say(Members(ListKind.PARTIAL, gone))
-    assert len(d.router.ranked_for) <= popularity.COUNTS
+
+
+def test_remembered_rankings_hold_no_more_bytes_than_they_may() -> None:
+    rankings = Rankings(5_000)
+    for n in range(200):
+        ranking = [StoreState(cache(k)) for k in range(n % 40)]
+        rankings.keep((n,), ranking)
+        assert rankings.find((n,)) is ranking
+        known = [rankings.find((m,)) for m in range(n + 1)]
+        held = [len(one) for one in known if one is not None]
+        assert sum(RANKING_BYTES + RANKED_STORE_BYTES * stores for stores in held) <= 5_000
+    rankings.clear()
+    assert rankings.find((199,)) is None
--- a/tests/test_models.py
+++ b/tests/test_models.py
@@ -10,6 +10,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
 from starlinghaven import interface as i
+from starlinghaven.memory import NoMemory, own_account
 from starlinghaven.program.fronts.platform import MOST_BAD, Client, PlatformFront
 from starlinghaven.protocol.resp import encode
 from starlinghaven.routing.types import (
@@ -25,11 +26,11 @@
     Taken,
 )  # fmt: skip
 from starlinghaven.transport.connection import Connection
-from starlinghaven.transport.ring import SMALL, Memory, NoMemory, Ring
+from starlinghaven.transport.ring import Ring
 from tests.helpers import SETTINGS
 from tests.steps import STORES, Posts, Recorder, Stores, Time, Wire, drive, engine
 
-LIMIT = 16 * SMALL
+LIMIT = 64 * 1024
 TAGS = st.integers(1, 4) | st.integers(1, 60)
 
 
@@ -38,8 +39,8 @@
 
     def __init__(self) -> None:
         super().__init__()
-        self.memory = Memory(LIMIT)
-        self.ring, self.held = Ring(self.memory), b""
+        self.account = own_account(LIMIT)
+        self.ring, self.held = Ring(self.account), b""
 
     @rule(n=st.integers(0, 3000) | st.integers(0, LIMIT), word=st.binary(min_size=1, max_size=7))
     def put(self, n: int, word: bytes) -> None:
@@ -79,12 +80,12 @@
 
     @invariant()
     def memory_is_counted_and_given_back(self) -> None:
-        assert self.ring.size == len(self.held) and self.memory.used == self.ring.capacity <= LIMIT
-        assert self.held or self.ring.capacity == SMALL or self.ring.size == 0
+        assert self.ring.size == len(self.held) and self.account.held == self.ring.capacity <= LIMIT
+        assert self.held or not self.ring.capacity, "an empty ring holds no memory"
 
     def teardown(self) -> None:
         self.ring.close()
-        assert self.memory.used == 0
+        assert self.account.held == 0
 
 
 class ClientModel(RuleBasedStateMachine):
@@ -92,10 +93,11 @@
 
     def __init__(self) -> None:
         super().__init__()
-        self.wire, self.posts, self.ring = Wire(), Posts(), Ring(Memory(1 << 24))
+        self.wire, self.posts, self.ring = Wire(), Posts(), Ring(own_account(1 << 24))
         front = SimpleNamespace(
             engine=self.posts, settings=SETTINGS, counters=Counters(), classes={"video": 0},
-            state=lambda: b"READY", closed=False, served=None,
+            state=lambda: b"READY", closed=False, served=None, answers=own_account(1 << 20),
+            tags=own_account(1 << 20),
         )  # fmt: skip
         self.client = Client(cast(PlatformFront, front), cast(Connection, self.wire))
         self.state: dict[int, str] = {}
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -20,19 +20,20 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from starlinghaven.memory import own_account
 from starlinghaven.program.operations.handover import Handover
 from starlinghaven.protocol import ProtocolError, console, handover
 from starlinghaven.protocol.resp import encode
 from starlinghaven.routing.engine import Engine
 from starlinghaven.routing.types import Hand
-from starlinghaven.transport.ring import Memory, Ring
+from starlinghaven.transport.ring import Ring
 from tests.loopback import KEY, ROOT, Program, free_port, in_trio, operator, program
 
 CACHE = "s-00000001"
 
 
 def read(text: bytes) -> console.Call | None:
-    ring = Ring(Memory(1 << 20))
+    ring = Ring(own_account(1 << 20))
     ring.put(text)
     return console.read(ring)
 
@@ -271,7 +272,11 @@
         handover.Unread(9, b"x" * 30), handover.Unsent(9, b"y" * 30), handover.Complete(9),
         handover.Accepted(9), handover.Refused(9, "no memory"), handover.Taken(9),
     ]  # fmt: skip
-    text, reader, ring = b"".join(map(handover.encode, frames)), handover.FrameReader(), Ring(Memory(1 << 20))
+    text, reader, ring = (
+        b"".join(map(handover.encode, frames)),
+        handover.FrameReader(),
+        Ring(own_account(1 << 20)),
+    )
     read: list[handover.Frame] = []
     for size in [*cuts, len(text)]:
         ring.put(text[:size])
--- a/tests/test_system_calls.py
+++ b/tests/test_system_calls.py
@@ -22,8 +22,9 @@
 from starlinghaven.transport.connection import Connection
 from starlinghaven.transport.listener import Listener
 from starlinghaven.transport.pool import Link, Pool
-from starlinghaven.transport.ring import Memory, Ring
+from starlinghaven.transport.ring import Ring
 from tests.loopback import free_port, in_trio, until
+from tests.steps import accounts
 
 ACCEPT_ERRORS = (
     *(errno.ECONNABORTED, errno.EINTR, errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EPERM),
@@ -80,7 +81,7 @@
 @asynccontextmanager
 async def listening(number: int, times: int | None) -> AsyncIterator[Listener]:
     """A listener whose accept fails so many times, or four of ten times."""
-    listener = Listener(f"127.0.0.1:{free_port()}", Memory(1 << 24), PLACES)
+    listener = Listener(f"127.0.0.1:{free_port()}", accounts(1 << 24), PLACES)
     async with trio.open_nursery() as nursery:
         await listener.open()
         failing: FailingSocket = FlakySocket(listener._sock, "accept", number)
@@ -173,7 +174,7 @@
                 return real(*args)
 
             monkeypatch.setattr(trio.socket, "socket", flaky)
-            pool = Pool(lambda _, c: Link(c), Memory(1 << 24), dial_s=1.0, streams=4, idle_s=9.0, most=9)
+            pool = Pool(lambda _, c: Link(c), accounts(1 << 24), dial_s=1.0, streams=4, idle_s=9.0, most=9)
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(pool.run)
                 await trio.testing.wait_all_tasks_blocked()
@@ -200,7 +201,7 @@
             raise OSError(errno.EMFILE, os.strerror(errno.EMFILE))
         return real(*args, **more)
 
-    listener = Listener(f"127.0.0.1:{free_port()}", Memory(1 << 24), PLACES)
+    listener = Listener(f"127.0.0.1:{free_port()}", accounts(1 << 24), PLACES)
     with pytest.MonkeyPatch.context() as patch:
         patch.setattr(listener_module, "socket", SimpleNamespace(**vars(socket) | {"socket": flaky}))
         await listener.open()
@@ -234,20 +235,26 @@
     return real(fd, buffers)
 
 
+class Slow(Connection):
+    """A connection that leaves all writing to its task."""
+
+    def _send_now(self, pieces: tuple[bytes, ...]) -> int:
+        return 0
+
+
 @in_trio
 async def test_a_read_or_write_that_fails_for_a_moment_does_not_end_a_connection(tmp_path: Path) -> None:
     for call in ("readv", "send"):
         for number in (errno.ENOBUFS, errno.ENOMEM):
             ours, theirs = trio.socket.socketpair()
             async with trio.open_nursery() as nursery:
-                connection = object.__new__(Connection)
+                connection = object.__new__(Slow if call == "send" else Connection)
                 with pytest.MonkeyPatch.context() as patch:
                     patch.setattr(type(ours), "setsockopt", lambda *_: None)
-                    Connection.__init__(connection, ours, Memory(1 << 20))
+                    Connection.__init__(connection, ours, accounts(1 << 20))
                 failures = [number] * 3
                 if call == "send":
                     connection._sock = cast(Any, FailingSocket(ours, call, number, len(failures)))
-                    connection._send_now = lambda data: 0  # type: ignore[method-assign]
                     failures.clear()
                 with pytest.MonkeyPatch.context() as patch:
                     patch.setattr(os, "readv", partial(failing_readv, os.readv, failures))
