--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -15,11 +15,12 @@
 
 from starlinghaven.transport import connection as connection_module
 from starlinghaven.transport import pool as pool_module
-from starlinghaven.transport.connection import HIGH_WATER, Connection
+from starlinghaven.transport.connection import HIGH_WATER, Connection, ConnectionAccounts
 from starlinghaven.transport.listener import Listener, split_address
 from starlinghaven.transport.pool import MOST_UNSENT_S, DialFailed, Link, Pool
-from starlinghaven.transport.ring import SMALL, Memory, Ring
+from starlinghaven.transport.ring import Ring
 from tests.loopback import free_port, in_trio, until
+from tests.steps import accounts
 
 
 class Plain(Link):
@@ -39,15 +40,15 @@
 
 
 @asynccontextmanager
-async def pool(memory: Memory, **more: Any) -> AsyncIterator[Pool[Plain]]:
+async def pool(given: ConnectionAccounts, **more: Any) -> AsyncIterator[Pool[Plain]]:
     options = {"dial_s": 0.3, "streams": 2, "idle_s": 60.0, "most": 8} | more
-    made: Pool[Plain] = Pool(lambda _, c: Plain(c), memory, **options)
+    made: Pool[Plain] = Pool(lambda _, c: Plain(c), given, **options)
     async with trio.open_nursery() as nursery:
         nursery.start_soon(made.run)
         await trio.testing.wait_all_tasks_blocked()
         yield made
         nursery.cancel_scope.cancel()
-    assert made.count == 0 and memory.used == 0, "all is given back"
+    assert made.count == 0 and given.input.memory.used == 0, "all is given back"
 
 
 @asynccontextmanager
@@ -65,7 +66,7 @@
 
 @in_trio
 async def test_a_link_is_shared_up_to_its_streams_and_another_one_dialed_then(tmp_path: Path) -> None:
-    async with echo() as address, pool(Memory(1 << 20)) as p:
+    async with echo() as address, pool(accounts(1 << 20)) as p:
         links = []
         for _ in range(3):
             links.append(await p.link(("s", address)))
@@ -78,7 +79,7 @@
 @in_trio
 async def test_a_link_shared_by_many_gets_a_second_one_beside_it_without_a_wait(tmp_path: Path) -> None:
     """One answer that can't be read ends all that is open on its connection."""
-    async with echo() as address, pool(Memory(1 << 20), streams=100) as p:
+    async with echo() as address, pool(accounts(1 << 20), streams=100) as p:
         place = ("s", address)
         first = await p.link(place)
         for _ in range(pool_module.SHARED):
@@ -87,7 +88,7 @@
         assert p.ready(place) is first, "it does not wait for the dial"
         await until(lambda: p.ready(place) is not first)
         assert p.count == 2
-    async with echo() as address, pool(Memory(1 << 20), streams=100, most=2) as p:
+    async with echo() as address, pool(accounts(1 << 20), streams=100, most=2) as p:
         first = await p.link(("s", address))
         for _ in range(2 * pool_module.SHARED):
             first.begin()
@@ -110,7 +111,7 @@
         full.listen(0)
         address = f"127.0.0.1:{full.getsockname()[1]}"
         with socket.create_connection(split_address(address)):
-            async with pool(Memory(1 << 20)) as p:
+            async with pool(accounts(1 << 20)) as p:
                 await wait(p, f"127.0.0.1:{free_port()}")
                 await wait(p, "no address")
                 failures.pop()
@@ -125,7 +126,7 @@
 
 @in_trio
 async def test_an_idle_link_is_closed_and_a_retired_one_with_its_last_stream(tmp_path: Path) -> None:
-    async with echo() as address, pool(Memory(1 << 20), idle_s=0.2) as p:
+    async with echo() as address, pool(accounts(1 << 20), idle_s=0.2) as p:
         idle = await p.link(("s", address))
         await until(lambda: idle.over)
         busy = await p.link(("s", address))
@@ -140,7 +141,7 @@
 
 @in_trio
 async def test_outbound_connections_are_bounded(tmp_path: Path) -> None:
-    async with echo() as address, pool(Memory(1 << 20), most=1, streams=1) as p:
+    async with echo() as address, pool(accounts(1 << 20), most=1, streams=1) as p:
         (await p.link(("s", address))).begin()
         with pytest.raises(DialFailed):
             await p.link(("s", address))
@@ -151,7 +152,7 @@
     """Else all that is open on it waits for its own time-out. One that only waits stays."""
     with pytest.MonkeyPatch.context() as patch:
         patch.setattr(pool_module, "STUCK_S", 0.05)
-        async with echo() as address, pool(Memory(1 << 20)) as p:
+        async with echo() as address, pool(accounts(1 << 20)) as p:
             links = [await p.link((name, address)) for name in ("a", "b")]
             for link in links:
                 link.begin()
@@ -164,7 +165,7 @@
 
 @in_trio
 async def test_an_address_that_passes_to_another_store_gets_connections_of_its_own(tmp_path: Path) -> None:
-    async with echo() as address, pool(Memory(1 << 20)) as p:
+    async with echo() as address, pool(accounts(1 << 20)) as p:
         old = await p.link(("s-1", address))
         assert await p.link(("s-2", address)) is not old
         p.forget("s-1")
@@ -173,8 +174,10 @@
 
 
 @asynccontextmanager
-async def served(memory: Memory, most: int = 4) -> AsyncIterator[tuple[Listener, list[Plain], str]]:
-    listener, links = Listener(f"127.0.0.1:{free_port()}", memory, most), list[Plain]()
+async def served(
+    given: ConnectionAccounts, most: int = 4
+) -> AsyncIterator[tuple[Listener, list[Plain], str]]:
+    listener, links = Listener(f"127.0.0.1:{free_port()}", given, most), list[Plain]()
 
     async def serve(connection: Connection) -> None:
         links.append(Plain(connection))
@@ -190,12 +193,12 @@
         nursery.start_soon(listener.run, serve, make_room)
         yield listener, links, f"127.0.0.1:{listener.port}"
         nursery.cancel_scope.cancel()
-    assert listener.count == 0 and memory.used == 0
+    assert listener.count == 0 and given.input.memory.used == 0
 
 
 @in_trio
 async def test_at_its_limit_the_listener_makes_room(tmp_path: Path) -> None:
-    async with served(Memory(1 << 20), most=1) as (listener, links, address):
+    async with served(accounts(1 << 20), most=1) as (listener, links, address):
         first = await trio.open_tcp_stream(*split_address(address))
         await until(lambda: links)
         second = await trio.open_tcp_stream(*split_address(address))
@@ -209,7 +212,7 @@
 async def test_a_peer_that_reads_nothing_is_not_read_from_and_then_cut_off(
     tmp_path: Path,
 ) -> None:
-    async with served(Memory(1 << 24)) as (listener, links, address):
+    async with served(accounts(1 << 24)) as (listener, links, address):
         with pytest.MonkeyPatch.context() as patch:
             patch.setattr(connection_module, "STALL_S", 0.5)
             peer = await trio.open_tcp_stream(*split_address(address))
@@ -229,17 +232,16 @@
 @in_trio
 async def test_a_message_that_waits_for_memory_too_long_loses_its_connection(tmp_path: Path) -> None:
     """Guards against many half-read messages that wait for each other's memory for ever."""
-    memory = Memory(8 * SMALL)
     with pytest.MonkeyPatch.context() as patch:
         patch.setattr(connection_module, "STARVED_S", 0.2)
-        async with served(memory) as (_, links, address):
+        async with served(accounts(1 << 16)) as (_, links, address):
 
             async def hungry(ring: object) -> int:
-                return 16 * SMALL
+                return 1 << 17
 
             patch.setattr(Plain, "feed", staticmethod(hungry))
             peer = await trio.open_tcp_stream(*split_address(address))
-            await peer.send_all(b"x")
+            await peer.send_all(b"x" * (1 << 17))
             assert await peer.receive_some() == b""
 
 
@@ -252,8 +254,7 @@
 @in_trio
 async def test_what_is_written_leaves_at_once_and_the_rest_in_order_also_detached(tmp_path: Path) -> None:
     """No task has to wake for an answer that the socket takes; what it doesn't take is never overtaken."""
-    memory = Memory(1 << 26)
-    async with served(memory) as (_, links, address):
+    async with served(accounts(1 << 26)) as (_, links, address):
         host, port = split_address(address)
         for detached in (False, True):
             stream = await trio.open_tcp_stream(host, port)
@@ -309,7 +310,7 @@
     async with trio.open_nursery() as nursery:
         nursery.start_soon(trio.serve_listeners, store, [listener])
         pool: Pool[Link] = Pool(
-            lambda _, c: Silent(c), Memory(1 << 25), dial_s=1.0, streams=4, idle_s=9.0, most=9
+            lambda _, c: Silent(c), accounts(1 << 25), dial_s=1.0, streams=4, idle_s=9.0, most=9
         )
         nursery.start_soon(pool.run)
         await trio.testing.wait_all_tasks_blocked()
@@ -331,15 +332,15 @@
 async def test_want_of_memory_that_others_hold_fails_an_answer_and_not_its_connection(
     tmp_path: Path,
 ) -> None:
-    memory = Memory(1 << 20)
-    async with served(memory) as (_, links, address):
+    given = accounts(1 << 20)
+    async with served(given) as (_, links, address):
         peer = await trio.open_tcp_stream(*split_address(address))
         await until(lambda: links)
         connection = links[0].connection
         while not connection.unsent:
             connection.write(b"a" * (1 << 16))
-        held = memory.limit - memory.used
-        memory.take(held)
+        held = given.output.free
+        given.output.take(held)
         connection.write(b"b" * (1 << 18), instead=b"c")
         assert connection.usable
         connection.write(b"d")
@@ -347,5 +348,5 @@
         while not got.endswith(b"d"):
             got += await peer.receive_some()
         assert got.strip(b"a") == b"cd"
-        memory.give(held)
+        given.output.give(held)
         await peer.aclose()
