Begin nothing a second time for an id, here or at an upgrade's other process

What callers saw: an id ran twice when it came again after its client had left, or at the other process of an upgrade.

Cause: the engine knew the ids of open requests only. After a cancel, a close, a reset or the answer an id was free again, and the other process of an upgrade knew none.

Why this works: the first attempt for an id claims it in a bounded table (routing/begun_ids.py); an id that is there fails, since a refusal would promise that nothing has run. An id is kept at least as long as it binds: for the longest time that a client may give a call, or the window of its class if that is longer, and a second more; then for as long as there is room. A table that is full of ids that bind refuses new requests as they are read, ahead of any attempt. Its memory is an account of the budget.

A keyed retry (new id, same dedupe) stays what it was. An id for which nothing began may come again. One test sent the id of an answered call once more to have an open one; it takes a new id for that now.

--- a/starlinghaven/program/core.py
+++ b/starlinghaven/program/core.py
@@ -11,6 +11,8 @@
 from starlinghaven.program import changelog, config
 from starlinghaven.program.caches import Caches
 from starlinghaven.program.memory_plan import Accounts, Demand, divide
+from starlinghaven.program.operations.shared_ids import begun_ids
+from starlinghaven.protocol.platform import SLACK
 from starlinghaven.routing.clock import Clock
 from starlinghaven.routing.copies import Copies
 from starlinghaven.routing.engine import Engine
@@ -18,6 +20,7 @@
 from starlinghaven.transport import arrivals
 
 RESERVE = 32  # descriptors for files, the change log, balancers' checks and what the system wants
+IDS_SLACK_MS = 1_000.0  # that an id binds beyond its request's time
 STORES_LEAST = 8  # part of all descriptors that stores have at least, one in so many
 
 
@@ -32,6 +35,17 @@
     return max((cfg.sockets - RESERVE - front_sockets) // processes, cfg.sockets // STORES_LEAST)
 
 
+def binds_ms(cfg: config.Config) -> float:
+    """How long an id binds: as long as its client may wait, and as stores may recognise a repeat."""
+    longest = max(max(SLACK * c.give_up_ms, c.window_ms) for c in cfg.settings.classes)
+    return longest + IDS_SLACK_MS
+
+
+def _table_bytes(cfg: config.Config, limit: int) -> int:
+    """Bytes of the table of ids. In an upgrade the file that holds it counts as memory beside its mapping."""
+    return limit // 2 if cfg.passed is not None else limit
+
+
 class Core:
     """Everything but the fronts. Made inside trio's loop."""
 
@@ -50,7 +64,19 @@
                 most_purges=sizes.own_purges,
             )
         settings = replace(cfg.settings, tells=tells)
-        self.engine = Engine(settings, cfg.seed, clock, self.counters, copies, accounts.engine, sizes)
+        ids = accounts.memory.account("ids")
+        begun = begun_ids(cfg.folder, cfg.passed is not None, _table_bytes(cfg, ids.limit), binds_ms(cfg))
+        ids.take_always(begun.size)
+        self.engine = Engine(
+            settings,
+            cfg.seed,
+            clock,
+            self.counters,
+            copies,
+            accounts.engine,
+            sizes,
+            begun,
+        )
         self.caches = Caches(
             self.engine,
             cfg.classes,
--- a/starlinghaven/program/fronts/platform.py
+++ b/starlinghaven/program/fronts/platform.py
@@ -29,7 +29,6 @@
 SHUN_S = 1.0  # seconds for which a connection that broke the protocol is kept unread before its end
 OFFER_AGAIN_S = 0.05  # seconds between two offers of connections to a successor
 MOST_BAD = 8  # calls that can't be used on a connection, with which it is at its end
-SLACK = 4.0  # times a class's give-up time up to which times to wait and to send are usual
 SHORT_ANSWERS = 4 * 1024  # bytes unsent up to which a connection may use all memory for answers
 
 
@@ -292,9 +291,10 @@
             return "no object"
         if cls.effect is i.Effect.KEYED and not call.dedupe:
             return "no idempotency key"
-        if call.ttl_ms > SLACK * cls.give_up_ms:
+        most_ms = platform.SLACK * cls.give_up_ms
+        if call.ttl_ms > most_ms:
             return "ttl out of range"
-        if settings.pace_kb_per_s and 1000 * call.size_kb / settings.pace_kb_per_s > SLACK * cls.give_up_ms:
+        if settings.pace_kb_per_s and 1000 * call.size_kb / settings.pace_kb_per_s > most_ms:
             return "size out of range"
         return ""
 
--- a/starlinghaven/protocol/platform.py
+++ b/starlinghaven/protocol/platform.py
@@ -11,6 +11,7 @@
 MOST_BODY = 64 * 1024  # bytes that a call brings at most: the platform's limit is 48,000
 MOST_WORDS = 5  # of a message
 MOST_OPEN = 32  # requests open on one connection
+SLACK = 4.0  # times a class's give-up time up to which times to wait and to send are usual
 MOST_TAG = 2**64 - 1  # the hand-over to another process has eight bytes for it
 MOST_SIZE_KB = 1e12  # of an object's part: beyond all storage, and far from where arithmetic overflows
 _HEX16 = re.compile(r"[0-9a-f]{16}")
--- a/starlinghaven/routing/engine.py
+++ b/starlinghaven/routing/engine.py
@@ -16,6 +16,7 @@
 from starlinghaven.router import Router
 from starlinghaven.routing import request_log
 from starlinghaven.routing.backlog import Backlog
+from starlinghaven.routing.begun_ids import BegunIds, Claim
 from starlinghaven.routing.clock import Clock
 from starlinghaven.routing.copies import Copies
 from starlinghaven.routing.crowd import Crowd
@@ -63,6 +64,7 @@
 NOTES = {note.value: note for note in i.Note}
 TELLS_NOTHING = frozenset({i.Code.MISS, i.Code.MOOT, i.Code.CANCELLED})  # of the cache that was asked
 STALL_MS = 50.0  # ms that an event or a timer waited, from which fronts and stores are read before it counts
+OWN_IDS_BYTES = 512 * 1024  # of the table of begun ids, where nobody gives one
 LATE_MS = 100.0  # ms after which a first attempt is logged as late
 NEWS_TURNS = 8  # turns at most that it waits for news to be read
 TURNS = 3  # turns of the loop in which they are: one for the wait, one for the reading, one to spare
@@ -80,7 +82,9 @@
         copies: Copies | None = None,
         accounts: EngineAccounts | None = None,
         sizes: TableSizes | None = None,
+        begun: BegunIds | None = None,
     ) -> None:
+        """`begun` has the ids for which something has begun, here or at the other process of an upgrade."""
         self._clock_observed_at = -math.inf
         self.clock, self.counters, self._settings = clock, counters, settings
         self.accounts = accounts or EngineAccounts()
@@ -93,6 +97,7 @@
         self.tell: Callable[[str, bool], None] | None = None  # to other proxies: store, silent; never waits
         self.news_unread: Callable[[], bool] | None = None  # whether something of the change log lies unread
         self.observer: Observer | None = None  # of loads, where proxies tell each other
+        self._begun = begun or BegunIds.make(OWN_IDS_BYTES, bytes(16), math.inf)
         self._open = OpenRequests()
         self._attempts: dict[tuple[int, int], Attempt] = {}
         self._stores = StoreTable(settings, clock, self.accounts.list)
@@ -118,6 +123,9 @@
         not post it after all gives its memory back by `withdraw`.
         """
         alone = asker.alone
+        if not self._begun.has_room():
+            self.counters.add("refused_for_ids")
+            return None
         if self._backlog.is_too_late(ask, self.clock.now(), queues=not alone):
             self._crowd.note()
             self.counters.add("refused_early")
@@ -364,7 +372,7 @@
             self.counters.add("refused_early")
             self._turn_away(event, Answer(Result.REFUSED, wait_ms=self._settings.pushback_ms))
             return
-        if self._open.has_id(ask.id):
+        if self._open.has_id(ask.id) or self._begun.holds(ask.id):
             self.counters.add("ids_again")
             request_log.id_in_use(ask)
             self._turn_away(event, Answer(Result.FAILED))
@@ -542,6 +550,22 @@
         self._left(request.ticket)
         self._decide(i.Outcome(order.request, number, order.store, i.Code.MOOT, took_ms=0.0, final=True))
 
+    def _claims(self, request: OpenRequest) -> bool:
+        """Notes that something begins for an id; whether nothing has, here or at another process."""
+        try:
+            claim = self._begun.claim(request.ask.id)
+        except TimeoutError:
+            claim = Claim.FULL
+        if claim is not Claim.BEGINS:
+            self.counters.add("ids_again" if claim is Claim.BEGUN else "ids_not_noted")
+            request_log.id_in_use(request.ask)
+        return claim is Claim.BEGINS
+
+    def _deny(self, order: i.Send | i.Get, request: OpenRequest) -> None:
+        """Fails a request for whose id something has begun elsewhere, and gives back what was ordered."""
+        self._finish(order.request, Answer(Result.FAILED))
+        self._decide(i.Outcome(order.request, 0, order.store, i.Code.MOOT, took_ms=0.0, final=True))
+
     def _start(self, order: i.Send | i.Get) -> None:
         assert self.caches is not None
         request = self._open.get(order.request)
@@ -551,6 +575,9 @@
         if request.ticket.left:  # the event that tells it may still be unread, or wait in the queue
             self._give_back(order, len(request.attempts), request)
             return
+        if not request.attempts and not self._claims(request):
+            self._deny(order, request)
+            return
         left = request.deadline - now
         store = self._stores.get(order.store)
         attempt = Attempt(
--- a/starlinghaven/routing/request_log.py
+++ b/starlinghaven/routing/request_log.py
@@ -17,8 +17,8 @@
 
 
 def id_in_use(ask: Ask) -> None:
-    """A request was failed since stores know an open one by the same id."""
-    log.info("request %s failed: its id is that of an open request", ask.id)
+    """A request was failed since something is open, or has begun, under its id."""
+    log.info("request %s failed: something has begun for its id", ask.id)
 
 
 def not_begun_left(request: OpenRequest, store: str, number: int, now_ms: float) -> None:
--- a/tests/test_models.py
+++ b/tests/test_models.py
@@ -31,6 +31,7 @@
 from tests.steps import STORES, Posts, Recorder, Stores, Time, Wire, drive, engine
 
 LIMIT = 64 * 1024
+CALLS = st.integers(0, 9) | st.integers(0, 1 << 30)
 TAGS = st.integers(1, 4) | st.integers(1, 60)
 
 
@@ -186,11 +187,12 @@
             del self.open[ticket], self.ids[ticket]
             self.over[ticket] = 1
 
-    @rule(key=st.integers(0, 9), cls=st.integers(0, 2), patience=st.integers(60, 3000), n=st.integers(0, 9))
+    @rule(key=st.integers(0, 9), cls=st.integers(0, 2), patience=st.integers(60, 3000), n=CALLS)
     def take(self, key: int, cls: int, patience: int, n: int) -> None:
-        """The id of an open request with another object is failed at once, and touches nothing else."""
+        """The id of a request that is open, or has begun, is failed at once, and touches nothing else."""
         ticket, now = Recorder(), self.engine.clock.now()
-        again = f"{n:x}" in self.ids.values()
+        begun = {attempt.ask.id for attempt in self.stores.sent}
+        again = f"{n:x}" in begun or f"{n:x}" in self.ids.values()
         self.open[ticket], sent = now + patience, len(self.stores.sent)
         self.ids[ticket] = f"{n:x}"
         ask = Ask(id=f"{n:x}", cls=cls, taken_ms=now, patience_ms=patience, key=str(key))
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -280,8 +280,8 @@
         assert answer[1] == b"ABORTED", "the first one's attempt is not touched"
         first = await one.words.read()
         assert first is not None and first[1] == b"RESULT" and len(p.archive.orders) == 1
-        await one.send(call="9b1f03aa5c7e2d41")
-        await one.send(call="9b1f03aa5c7e2d41", row="00000000000000aa")
+        await one.send(call="9b1f03aa5c7e2d42")
+        await one.send(call="9b1f03aa5c7e2d42", row="00000000000000aa")
         assert await one.words.read() is None
         crowd = await p.client()
         for _ in range(33):
