--- a/benchmarks/crowds.py
+++ b/benchmarks/crowds.py
@@ -54,6 +54,8 @@
             await nursery.start(archive.run)
             limits = {"cores": 1.0, "memory_mb": given.memory_mb, "sockets": given.sockets}
             told = configuration(archive, port) | {"limits": limits}
+            if given.copies:
+                told |= {"flow_bytes_per_s": 310_000.0, "link_bytes_per_s": 124_000_000.0}
             for cls in told["settings"]["Classes"]:
                 cls["GiveUpMs"] = 5_000.0
             (folder / "config.json").write_text(json.dumps(told))
@@ -127,6 +129,7 @@
     parser.add_argument("--store-delay", type=float, default=0.01)
     parser.add_argument("--large-bytes", type=int, default=OBJECT_BYTES)
     parser.add_argument("--weight", type=float, default=60.0, help="of each store")
+    parser.add_argument("--copies", action="store_true", help="lets the program keep copies of its own")
     parser.add_argument("--clients", type=int, default=4, help="usual clients")
     parser.add_argument("--usual", default="small-read", help="kinds of their requests, in turn")
     parser.add_argument("--program", type=Path, default=ROOT)
--- a/starlinghaven/transport/connection.py
+++ b/starlinghaven/transport/connection.py
@@ -32,7 +32,7 @@
 MOST_DROPPED = HIGH_WATER  # bytes that are read and dropped in that time, at most
 MOST_PEEKED = 512 * 1024  # bytes of unread input that are looked through: the system holds no more
 PREPAID = 512  # bytes of each ring that a connection's own cost covers: short messages always pass
-COST = 8_704 + 2 * PREPAID  # bytes of a connection at rest: socket, task, the state of its protocol
+COST = 9 * 1024 + 2 * PREPAID  # bytes of a connection at rest: socket, task, the state of its protocol
 FULL_S = 0.05  # between two looks at a message for which the system may have no room
 PARTIAL_S = 0.02  # seconds until a large message is looked at again of which a part came in
 MOST_PARTIAL = 3  # such looks in a row that find nothing more: the system has no room for the rest
@@ -188,13 +188,15 @@
 
     def has_room(self, size: int, leave: int = 0) -> bool:
         """Whether so many bytes can be written, where `leave` bytes of the memory are to be left free."""
-        if self._out.size + size > MOST_UNSENT:
-            return False
-        cost = self._out.cost(self._out.size + size)
-        return self._accounts.output.allows(cost, leave) or not self._out.size and self._system_takes(size)
+        return self._can_hold(size, leave) or not self._out.size and self._system_takes(size)
+
+    def _can_hold(self, size: int, leave: int) -> bool:
+        """Whether there is memory for so many bytes if the system takes none of them."""
+        held = self._out.size + size
+        return held <= MOST_UNSENT and self._accounts.output.allows(self._out.cost(held), leave)
 
     def _system_takes(self, size: int) -> bool:
-        """Whether the system surely takes so many bytes at once."""
+        """Whether the system should take so many bytes at once."""
         try:
             buffer = self._sock.getsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF)
         except OSError:
@@ -211,17 +213,26 @@
         if self.closed or self._ending:
             return False
         size = sum(map(len, pieces))
-        if self.has_room(size, leave):
+        if self._can_hold(size, leave):
             self._queue(pieces, size)
             return True
         self._accounts.output.refuse()
+        if not self._out.size and self._system_takes(size):
+            try:
+                self._queue(pieces, size, always=False)
+            except NoMemory as error:  # a part has left, so that nothing can take its place
+                log.warning("a connection is cut off amid an answer: %s", error)
+                self.abort()
+                return False
+            return True
         if instead:
             self._queue((instead,), len(instead))
         else:
             self.abort()
         return False
 
-    def _queue(self, pieces: tuple[bytes, ...], size: int) -> None:
+    def _queue(self, pieces: tuple[bytes, ...], size: int, always: bool = True) -> None:
+        """Errors: NoMemory for what the system did not take, unless it is held in any case."""
         self._written = True
         self._queued += size
         sent = 0
@@ -233,7 +244,7 @@
         for piece in pieces:
             rest = memoryview(piece)[sent:]
             sent = max(sent - len(piece), 0)
-            self._out.put(rest, always=True)
+            self._out.put(rest, always=always)
         self._start_writing()
 
     def _send_now(self, pieces: tuple[bytes, ...]) -> int:
--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+import contextlib
+import socket
 from collections import Counter
 from collections.abc import Mapping
 from dataclasses import dataclass
+from functools import partial
 from pathlib import Path
 from random import Random
 
@@ -109,3 +112,46 @@
     assert {o.ending for o in played.outcomes} == {Ending.SERVED}
     assert {o.kind for o in played.outcomes} == set(kinds)
     assert played.peak_mb <= LEAST_MB
+
+
+async def watch_sum(processes: list[trio.Process], most_mb: list[float]) -> None:
+    """Notes the most that the processes hold together."""
+    while True:
+        held = 0.0
+        for process in processes:
+            with contextlib.suppress(OSError):
+                held += memory_of(process.pid).now_mb
+        most_mb.append(held)
+        await trio.sleep(0.01)
+
+
+@in_trio
+async def test_both_processes_of_an_upgrade_stay_within_the_limit_beside_a_crowd(tmp_path: Path) -> None:
+    memory_mb = 64
+    settings = SETTINGS | {"Classes": [cls | OPEN_ALL for cls in SETTINGS["Classes"]]}
+    more = {"limits": {"cores": 1.0, "memory_mb": memory_mb, "sockets": 512}, "settings": settings}
+    (tmp_path / "tmp").mkdir()
+    most_mb = [0.0]
+    with socket.create_server(("127.0.0.1", 0), backlog=512) as passed:
+        passed.setblocking(False)
+        start = partial(program, tmp_path, passed=passed, more=more, TMPDIR=str(tmp_path / "tmp"))
+        async with start(archive=RemoteArchive(0.05)) as older, trio.open_nursery() as nursery:
+            address = ("127.0.0.1", older.port)
+            processes = [older.process]
+            nursery.start_soon(watch_sum, processes, most_mb)
+            client = UsualClient(address, Random(1), (RequestKind.SMALL_READ,))
+            nursery.start_soon(client.run)
+            async with crowds.playing(address, MIXED, SECONDS + 2.0, seed=1):
+                await trio.sleep(2.0)
+                async with start(beside=older) as newer:
+                    processes.append(newer.process)
+                    await trio.sleep(1.0)
+                    older.process.terminate()
+                    assert await older.exit_code() == 0
+                    await trio.sleep(1.0)
+                    assert newer.process.returncode is None, newer.log()[-2000:]
+            nursery.cancel_scope.cancel()
+    assert max(most_mb) <= memory_mb
+    played = Played(max(most_mb), client.outcomes)
+    assert not played.lost(), played.lost()
+    assert played.share_served() > 0.5, Counter(o.ending for o in client.outcomes)
