Bound the tables that grow by names, tags and news in bytes

Callers saw nothing of these tables at once: they grow over hours with the names, tags and addresses that callers choose, and the budget counted none of them.

Cause: tables were bounded by entries, or by nothing, and an entry's size is chosen by its sender. Used tags were a set of strings; news from the change log waited without a bound; a request that ended ahead of its answer, a timer that was cancelled and a rested client stayed until something else removed them; the admission tables had one fixed number of entries for any memory.

--- a/starlinghaven/program/changelog.py
+++ b/starlinghaven/program/changelog.py
@@ -29,6 +29,8 @@
 
 SILENCE_S = 2.0  # seconds without even an empty frame, which comes each second
 DIAL_S = 1.0
+MEMORY_OF_FRAME = 32  # times its bytes that a frame may take while it is handled: its lines as objects
+MOST_ENDED_AHEAD = 2_048  # stores whose end is remembered ahead of its turn
 PAUSE_S, PAUSE_MOST_S = 0.05, 0.8  # seconds between two tries, doubled up to the most
 PHASES = {
     changelog.READY: i.Phase.UP,
@@ -139,7 +141,8 @@
         self._connection, self._ends_when_read, self._behind_gap = connection, False, False
         connection.write(changelog.resume(self.last))
         log.info("change log connected address=%s after event %d", self._address, self.last)
-        reader, started = changelog.FrameReader(), connection.heard_at
+        most_bytes = self._accounts.input.limit // MEMORY_OF_FRAME
+        reader, started = changelog.FrameReader(most_bytes), connection.heard_at
 
         async def feed(ring: Ring) -> int:
             try:
@@ -222,7 +225,8 @@
             await self._engine.post(event(news))
         elif isinstance(news, changelog.Fleet):
             ended = tuple(r for r in news.records if r.state != changelog.READY)
-            self._ended_ahead |= {record.id: number for record in ended}
+            room = MOST_ENDED_AHEAD - len(self._ended_ahead)
+            self._ended_ahead |= {record.id: number for record in ended[:room]}
             await self._engine.post(event(changelog.Fleet(False, ended)))
 
     def _current(self, number: int, news: changelog.News) -> changelog.News:
--- a/starlinghaven/program/daemon.py
+++ b/starlinghaven/program/daemon.py
@@ -45,6 +45,8 @@
 FLUSH_S = 1.0  # seconds in which some client must read something of the last answers
 FLUSH_MOST_S = 60.0  # seconds that the last answers may take: the largest at 200 KB/s take some 40
 LOOK_S = 0.005  # seconds between two looks at what is left
+ADMISSION_PART = 32  # part of the limit for what admission remembers, one in so many, where it is on
+FLEET_BYTES, FLEET_PEER_BYTES = 1024 * 1024, 4 * 1024  # for what proxies know of each other, and of each
 CHECKS = 16  # connections of balancers' checks at once
 STATES = {"ready": platform.READY, "draining": platform.DRAIN, "stopped": platform.UNREADY}
 
@@ -73,8 +75,11 @@
         fronts["agent"] = CHECKS + LINGERING
     if cfg.console:
         fronts["console"] = PLACES + LINGERING
+    tables = cfg.memory_bytes // ADMISSION_PART if options.admission else 0
+    if options.fleet and cfg.peer_listen:
+        tables += FLEET_BYTES + FLEET_PEER_BYTES * len(cfg.peers)
     clients = cfg.sockets // 2  # usual ones hold a third of all at most; the rest is for the others
-    return divide(cfg.memory_bytes, base, demand(cfg, clients + LINGERING, fronts))
+    return divide(cfg.memory_bytes, base, demand(cfg, clients + LINGERING, fronts, tables))
 
 
 class Daemon:
@@ -88,9 +93,10 @@
         self.gate: AdmissionGate | None = None
         if options.admission:
             from starlinghaven.admission import settings as admitting
-            from starlinghaven.program.fronts.admission import AdmissionGate
+            from starlinghaven.program.fronts.admission import ADMISSION_ENTRY_BYTES, AdmissionGate
 
-            self.gate = AdmissionGate(admitting.load(options.admission), clients, core.counters)
+            sources = cfg.memory_bytes // ADMISSION_PART // 2 // ADMISSION_ENTRY_BYTES
+            self.gate = AdmissionGate(admitting.load(options.admission), clients, core.counters, sources)
         self._listeners = [Listener(cfg.listen, accounts.clients, clients, cfg.passed, gate=self.gate)]
         self.handover = Handover(cfg.folder)
         self.front = PlatformFront(
--- a/starlinghaven/program/fronts/admission.py
+++ b/starlinghaven/program/fronts/admission.py
@@ -15,6 +15,8 @@
 from starlinghaven.admission.policy import Admission, Admit, Limits
 from starlinghaven.routing.types import Counters
 
+ADMISSION_ENTRY_BYTES = 384  # of an address, or of a network, that is remembered
+MOST_SOURCES = 65_536  # addresses, and networks, that are remembered at most
 CLIENTS_SHARE = 0.5  # part of RLIMIT_NOFILE that clients' connections may hold at most
 
 
@@ -29,8 +31,15 @@
 class AdmissionGate:
     """A `starlinghaven.transport.listener.Gate` over `Admission`."""
 
-    def __init__(self, limits: Limits, clients: int, counters: Counters) -> None:
-        self.admission = Admission(replace(limits, places=places(clients)))
+    def __init__(self, limits: Limits, clients: int, counters: Counters, sources: int = MOST_SOURCES) -> None:
+        """`sources`: addresses and networks that there is memory to remember, each."""
+        fitting = replace(
+            limits,
+            places=places(clients),
+            remember_most=min(limits.remember_most, sources),
+            track_most=min(limits.track_most, sources),
+        )
+        self.admission = Admission(fitting)
         self._counters = counters
 
     def admit(self, address: str) -> object | None:
--- a/starlinghaven/program/fronts/clients.py
+++ b/starlinghaven/program/fronts/clients.py
@@ -206,5 +206,7 @@
         finally:
             self._links.remove(link)
             self._deliveries.pop(link, None)
+            if link in self._rested:
+                self._rested.remove(link)  # else it would hold the memory of those that are gone
             with trio.CancelScope(shield=True), contained(log, "the end of a client's connection"):
                 await link.leave()
--- a/starlinghaven/program/fronts/used_tags.py
+++ b/starlinghaven/program/fronts/used_tags.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from array import array
+from bisect import bisect_left
 from collections.abc import Iterable
 
 from starlinghaven.memory import Account, NoMemory
@@ -9,19 +11,20 @@
 
 MOST_APART = 4 * 4_096  # used tags kept one by one, at which a connection is closed in any case
 MANY_APART = 4_096  # ... and from which it is closed once nothing is open
-FEW_APART = 64  # ... up to which a client may use the whole account: requests in an order of their own
-TAG_BYTES = 128  # of a tag that is kept by itself
+PREPAID_APART = 32  # ... up to which they are a part of what a connection costs: as many as may be open
+TAG_BYTES = 12  # of a tag that is kept by itself
 
 
 class UsedTags:
     """Tags mostly count up, so that only those above a gap cost memory."""
 
-    __slots__ = ("_account", "_apart", "up_to")
+    __slots__ = ("_account", "_apart", "_counted", "up_to")
 
     def __init__(self, account: Account) -> None:
         self._account = account
         self.up_to = 0  # all tags up to this one have been used
-        self._apart: set[int] | None = None  # those used above it, if any
+        self._apart: array[int] | None = None  # those used above it, in order, if any
+        self._counted = 0  # of those, that the account knows
 
     @property
     def apart(self) -> tuple[int, ...]:
@@ -38,41 +41,53 @@
 
         A tag used again can't be answered without doubt which request is meant.
         """
-        apart = self._apart or ()
-        if tag <= self.up_to or tag in apart:
-            raise ProtocolError("a tag is used again")
-        if tag == self.up_to + 1:
+        if tag == self.up_to + 1 and self._apart is None:
             self.up_to = tag
-            self._close_gap()
-        else:
-            self._keep_apart(tag)
-
-    def _keep_apart(self, tag: int) -> None:
-        kept = len(self._apart or ())
-        if kept >= MOST_APART:
+            return
+        apart = array("Q") if self._apart is None else self._apart
+        at = bisect_left(apart, tag)
+        if tag <= self.up_to or at < len(apart) and apart[at] == tag:
+            raise ProtocolError("a tag is used again")
+        self._count(len(apart) + 1)
+        apart.insert(at, tag)
+        self._apart = apart
+        self._close_gap()
+
+    def _count(self, kept: int) -> None:
+        """Takes memory for so many tags, beside those that are prepaid."""
+        if kept > MOST_APART:
             raise ProtocolError("too many tags with gaps between them")
+        wanted = max(kept - PREPAID_APART, 0) - self._counted
         try:
-            self._account.take(TAG_BYTES, leave=self._account.reserve if kept >= FEW_APART else 0)
+            self._account.take(max(wanted, 0) * TAG_BYTES, leave=self._counted * TAG_BYTES)
         except NoMemory as error:
             raise ProtocolError("too many tags with gaps between them, on all connections") from error
-        if self._apart is None:
-            self._apart = set()
-        self._apart.add(tag)
+        self._counted += max(wanted, 0)
 
     def _close_gap(self) -> None:
-        while self._apart and self.up_to + 1 in self._apart:
+        """Lets go of the tags that have no gap below them any more."""
+        assert self._apart is not None
+        closed = 0
+        while closed < len(self._apart) and self._apart[closed] == self.up_to + 1:
             self.up_to += 1
-            self._apart.remove(self.up_to)
-            self._account.give(TAG_BYTES)
-        if not self._apart:
-            self._apart = None  # an empty set keeps the memory that it once needed
+            closed += 1
+        if closed:
+            self._apart = self._apart[closed:] or None
+            self._release(max(len(self._apart or ()) - PREPAID_APART, 0))
+
+    def _release(self, counted: int) -> None:
+        """Gives back the memory of all but so many tags."""
+        if counted < self._counted:
+            self._account.give((self._counted - counted) * TAG_BYTES)
+            self._counted = counted
 
     def restore(self, up_to: int, apart: Iterable[int]) -> None:
         """Takes over what another process knew of the connection."""
-        self.up_to, self._apart = up_to, set(apart) or None
-        self._account.take_always(TAG_BYTES * len(self._apart or ()))
+        self.up_to, self._apart = up_to, array("Q", sorted(apart)) or None
+        self._counted = max(len(self._apart or ()) - PREPAID_APART, 0)
+        self._account.take_always(self._counted * TAG_BYTES)
 
     def close(self) -> None:
         """Gives all memory back."""
-        self._account.give(TAG_BYTES * len(self._apart or ()))
+        self._release(0)
         self._apart = None
--- a/starlinghaven/program/memory_plan.py
+++ b/starlinghaven/program/memory_plan.py
@@ -13,6 +13,8 @@
 from pathlib import Path
 
 from starlinghaven.memory import Memory
+from starlinghaven.program.changelog import MEMORY_OF_FRAME
+from starlinghaven.protocol.changelog import MOST_FRAME
 from starlinghaven.routing.request_memory import REQUEST_BYTES, EngineAccounts
 from starlinghaven.routing.store_table import STORE_BYTES
 from starlinghaven.transport.connection import COST, ConnectionAccounts
@@ -70,7 +72,7 @@
     "ids": Share(1 / 32, 128 * KIB, 4 * MIB),
     "tables": Share(1 / 24, 192 * KIB, 12 * MIB),
     "tags": Share(1 / 64, 64 * KIB),
-    "news": Share(1 / 64, 64 * KIB, 1 * MIB),
+    "news": Share(1 / 48, 192 * KIB, MOST_FRAME * MEMORY_OF_FRAME),
     "stores": Share(1 / 24, LEAST_STORE_CONNECTIONS * COST),
     "clients": Share(0.40, 16 * COST),
 }
--- a/starlinghaven/protocol/changelog.py
+++ b/starlinghaven/protocol/changelog.py
@@ -69,7 +69,9 @@
 class FrameReader:
     """Reads frames from a ring. An empty frame comes out as no news under its number."""
 
-    def __init__(self) -> None:
+    def __init__(self, most_bytes: int = MOST_FRAME) -> None:
+        """`most_bytes`: of a frame, where there is memory for no longer one."""
+        self._most = min(most_bytes, MOST_FRAME)
         self.wanted = _LENGTH.size
         self._length: int | None = None
 
@@ -82,7 +84,7 @@
             if ring.size < _LENGTH.size:
                 return None
             (self._length,) = _LENGTH.unpack(ring.take(_LENGTH.size))
-            if not _HEAD.size <= self._length <= MOST_FRAME:
+            if not _HEAD.size <= self._length <= self._most:
                 raise ProtocolError(f"a frame of {self._length} bytes")
         if ring.size < self._length:
             self.wanted = self._length
--- a/starlinghaven/router.py
+++ b/starlinghaven/router.py
@@ -55,6 +55,7 @@
 # Rules.
 PURGE_MARGIN_MS = 60.0  # ms for clocks and ways in the age of a purged object's copy
 LIST_RETRY_MS = 1_000.0  # ms until the list is asked for again after an error
+LEAST_WAITING = 64  # ended attempts whose aims are not looked for, at least
 FLIGHTS = 20_000  # attempts out that are remembered at most
 
 WATCH_TOKEN = 0
@@ -75,7 +76,7 @@
 
     __slots__ = (
         *("r", "c", "deadline", "sent", "open", "streams", "execution"),
-        *("failed", "tried", "used", "tier", "held_only", "errors"),
+        *("failed", "tried", "used", "tier", "held_only", "errors", "token"),
     )
 
     def __init__(self, request: i.Request, cls: i.RequestClass, second_copies: bool, now: float) -> None:
@@ -85,6 +86,7 @@
         self.execution = ExecutionRecord(cls, second_copies)
         self.tried, self.used = list[str](), list[str]()  # stores and sources that failed this request
         self.errors = list[Flight]()  # attempts that ended in an error
+        self.token = WATCH_TOKEN  # of the timer that it waits for, if any
         self.tier, self.held_only = UNKEPT, False  # held_only: no fill, only a copy that a cache holds
 
 
@@ -141,7 +143,7 @@
                 if job := self.jobs.get(event.request):
                     job.streams = True
             case i.Gone():
-                self._call_off(self.jobs.pop(event.request, None), out)
+                self._call_off(self._close(event.request), out)
             case i.Probed():
                 if store := self.stores.get(event.store):
                     self.load.learn(store, event.report, self.now)
@@ -243,6 +245,8 @@
     # -- attempts that are late -------------------------------------------------------------------
 
     def _overdue(self) -> None:
+        if sum(map(len, self.waiting)) > 2 * len(self.flights) + LEAST_WAITING:
+            self.waiting = [deque(w for w in waiting if w[1] in self.flights) for waiting in self.waiting]
         for waiting in self.waiting:
             while waiting and (waiting[0][0] <= self.now or waiting[0][1] not in self.flights):
                 if flight := self.flights.get(waiting.popleft()[1]):
@@ -308,7 +312,7 @@
         return own.ready_ms <= within_ms and (not fresh or own.age_ms <= fresh + grace_ms)
 
     def _serve(self, job: _Job, out: list[i.Action]) -> None:
-        del self.jobs[job.r.id]
+        self._close(job.r.id)
         out.append(i.Serve(job.r.id, self._unserved(job)))
 
     def _attempt(self, job: _Job, out: list[i.Action]) -> None:
@@ -340,6 +344,17 @@
             return self._go(job, sources[0], None, out)
         return self._give_up(job, out)
 
+    def _close(self, request: int) -> _Job | None:
+        """The one place where a request that was owed its answer is let go, with its timer."""
+        job = self.jobs.pop(request, None)
+        if job is not None:
+            self.delayed.pop(job.token, None)
+        return job
+
+    def awaits(self, token: int) -> bool:
+        """Whether a timer that was set still means something."""
+        return token == WATCH_TOKEN or token in self.delayed
+
     def _least(self, job: _Job) -> float:
         """The time below which an attempt cannot succeed, where the size is told.
 
@@ -396,7 +411,9 @@
 
     def _timer(self, job: _Job, wait: float) -> i.SetTimer:
         self.token += 1
+        self.delayed.pop(job.token, None)
         self.delayed[self.token] = job.r.id
+        job.token = self.token
         return i.SetTimer(wait, self.token)
 
     def _copy(self, job: _Job, out: list[i.Action]) -> None:
@@ -447,7 +464,7 @@
             for erred in job.errors:
                 self.health.blame(erred, self.now)
         if o.final:
-            del self.jobs[o.request]
+            self._close(o.request)
             if o.code is i.Code.OK and not flight.late:
                 self.purse = min(PURSE, self.purse + EARN)
             if job.open:
@@ -498,7 +515,7 @@
         """The final answer of what no store serves, at once: a copy of its own will do, even an old one."""
         if job.r.id in self.jobs and self._own(job, job.deadline - self.now, job.c.grace_ms):
             return self._serve(job, out)
-        self.jobs.pop(job.r.id, None)
+        self._close(job.r.id)
         out.append(self._unserved(job))
 
     def _unserved(self, job: _Job) -> i.Refuse | i.Fail:
--- a/starlinghaven/routing/engine.py
+++ b/starlinghaven/routing/engine.py
@@ -64,6 +64,7 @@
 NOTES = {note.value: note for note in i.Note}
 TELLS_NOTHING = frozenset({i.Code.MISS, i.Code.MOOT, i.Code.CANCELLED})  # of the cache that was asked
 STALL_MS = 50.0  # ms that an event or a timer waited, from which fronts and stores are read before it counts
+LEAST_TIMERS = 256  # that are never looked through for those without a meaning
 OWN_IDS_BYTES = 512 * 1024  # of the table of begun ids, where nobody gives one
 LATE_MS = 100.0  # ms after which a first attempt is logged as late
 NEWS_TURNS = 8  # turns at most that it waits for news to be read
@@ -104,6 +105,7 @@
         self._guard = Guard(self._stores, clock, counters)
         # An attempt's time-out, a request's deadline, or a token of the Router.
         self._timers = Timers[Attempt | OpenRequest | int]()
+        self._forget_at = LEAST_TIMERS  # timers from which those without a meaning are looked for
         self._quiet = trio.Event()
         self.ready = self.draining = False
         self._unserved = UnservedShare(clock)
@@ -645,11 +647,19 @@
                     self._give_up(a, i.Code.CANCELLED)
             case i.SetTimer():
                 self._timers.at(self.clock.now() + action.delay_ms, action.token)
+                self._forget_timers()
             case i.Tell():
                 self.counters.add("told_silent" if action.silent else "told_serving")
                 if self.tell is not None:
                     self.tell(action.store, action.silent)
 
+    def _forget_timers(self) -> None:
+        """Lets go of the Router's timers for requests that are over, once there are many: it cancels none."""
+        if len(self._timers) < self._forget_at:
+            return
+        self._timers.keep(lambda what: not isinstance(what, int) or self._router.awaits(what))
+        self._forget_at = 2 * len(self._timers) + LEAST_TIMERS
+
     def _end(self, action: i.Refuse | i.Fail) -> None:
         request = self._open.get(action.request)
         if request is None:
--- a/starlinghaven/routing/inbox.py
+++ b/starlinghaven/routing/inbox.py
@@ -13,9 +13,9 @@
 import trio
 
 from starlinghaven.routing.clock import Clock
-from starlinghaven.routing.types import Ended, Event, Left, LogNews, Taken
+from starlinghaven.routing.types import Ended, Event, FleetNews, Left, LogNews, Taken
 
-MOST_NEWS = 1024  # events of the change log that may wait
+MOST_NEWS = 1024  # purges and lines of stores of the change log that may wait
 QUEUE = 256  # other events that may wait, with up to 240 KB each; socket code waits when it is full
 CROWDED = QUEUE // 2  # events that wait, from which requests come faster than they are taken
 
@@ -37,6 +37,7 @@
         self._clock = clock
         self._send, self._receive = trio.open_memory_channel[Event | _Wake](QUEUE)
         self._news: deque[LogNews] = deque()
+        self._news_lines = 0  # what they tell, each line of a store by itself
         self._news_taken = trio.Event()
         self._lone: deque[Taken] = deque()  # requests whose client asks for nothing else at this time
         self._ends: deque[End] = deque()
@@ -90,8 +91,9 @@
 
     async def _post_news(self, news: LogNews) -> None:
         self._news.append(news)
+        self._news_lines += _lines(news)
         self._wake()
-        while len(self._news) > MOST_NEWS:
+        while self._news_lines > MOST_NEWS:
             if self._news_taken.is_set():  # else others wait for it already
                 self._news_taken = trio.Event()
             await self._news_taken.wait()
@@ -131,5 +133,11 @@
     def news(self) -> Iterator[LogNews]:
         """All news of the change log, in order; whoever waited for room goes on."""
         while self._news:
-            yield self._news.popleft()
+            news = self._news.popleft()
+            self._news_lines -= _lines(news)
+            yield news
         self._news_taken.set()
+
+
+def _lines(news: LogNews) -> int:
+    return max(len(news.stores), 1) if isinstance(news, FleetNews) else 1
--- a/starlinghaven/routing/timers.py
+++ b/starlinghaven/routing/timers.py
@@ -5,7 +5,7 @@
 import heapq
 import itertools
 import math
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 from typing import Generic, TypeVar
 
@@ -56,6 +56,12 @@
             heapq.heapify(self._due)
             self._cancelled = 0
 
+    def keep(self, wanted: Callable[[T], bool]) -> None:
+        """Forgets what is not wanted any more."""
+        for entry in self._due:
+            if entry.what is not None and not wanted(entry.what):
+                self.cancel(entry)
+
     def due(self, now: float) -> Iterator[T]:
         """What is due by now, in order, with what becomes due while it is handled."""
         while self._due and self._due[0].when <= now:
