--- a/benchmarks/crowds.py
+++ b/benchmarks/crowds.py
@@ -14,6 +14,7 @@
 import subprocess
 import tempfile
 from collections import Counter
+from contextlib import AsyncExitStack
 from pathlib import Path
 from random import Random
 from typing import Any
@@ -33,7 +34,7 @@
 REST_S = 1.0  # after it
 
 
-def _told(outcomes: list[Outcome]) -> dict[str, Any]:
+def told_of(outcomes: list[Outcome]) -> dict[str, Any]:
     served = sorted(o.took_s for o in outcomes if o.ending is Ending.SERVED)
     endings = {str(ending): n for ending, n in sorted(Counter(o.ending for o in outcomes).items())}
     times = (
@@ -50,7 +51,7 @@
     archive.weight = given.weight
     with tempfile.TemporaryDirectory() as name:
         folder = Path(name)
-        async with trio.open_nursery() as nursery:
+        async with trio.open_nursery() as nursery, AsyncExitStack() as stack:
             await nursery.start(archive.run)
             limits = {"cores": 1.0, "memory_mb": given.memory_mb, "sockets": given.sockets}
             told = configuration(archive, port) | {"limits": limits}
@@ -60,6 +61,8 @@
                 cls["GiveUpMs"] = 5_000.0
             (folder / "config.json").write_text(json.dumps(told))
             log = (folder / "log").open("w")
+            crowd = crowds.playing(("127.0.0.1", port), given.kinds, given.seconds, given.seed)
+            playing = await stack.enter_async_context(crowd) if given.from_start else None
             process = await trio.lowlevel.open_process(
                 ["/bin/sh", "-c", run_command(given.program)],
                 cwd=given.program,
@@ -71,7 +74,7 @@
                 with trio.fail_after(10):
                     while " ready " not in (folder / "log").read_text() and process.returncode is None:
                         await trio.sleep(0.02)
-                result = await _measure(given, process, ("127.0.0.1", port), nursery)
+                result = await _measure(given, process, ("127.0.0.1", port), nursery, playing)
             finally:
                 if process.returncode is None:
                     process.terminate()
@@ -91,7 +94,9 @@
     process: trio.Process,
     address: tuple[str, int],
     nursery: trio.Nursery,
+    early: trio.Process | None,
 ) -> dict[str, Any]:
+    """Plays usual clients and the crowd, unless it plays already; what was measured."""
     if process.returncode is not None:
         return {"exit": process.returncode}
     at_rest = memory_of(process.pid)
@@ -99,13 +104,16 @@
     usual = [UsualClient(address, Random(f"{given.seed} {n}"), kinds) for n in range(given.clients)]
     for client in usual:
         nursery.start_soon(client.run)
-    await trio.sleep(LEAD_S)
-    for client in usual:
-        client.outcomes.clear()
     crowd: Counter[str] = Counter()
-    async with crowds.playing(address, given.kinds, given.seconds, given.seed) as playing:
+    async with AsyncExitStack() as stack:
+        if early is None:
+            await trio.sleep(LEAD_S)
+            for client in usual:
+                client.outcomes.clear()
+            crowd_now = crowds.playing(address, given.kinds, given.seconds, given.seed)
+            early = await stack.enter_async_context(crowd_now)
         with trio.move_on_after(given.seconds + 5):
-            crowd = await crowds.told(playing)
+            crowd = await crowds.told(early)
     beside = [outcome for client in usual for outcome in client.outcomes]
     await trio.sleep(REST_S)
     memory = memory_of(process.pid) if process.returncode is None else None
@@ -114,7 +122,7 @@
         "rest_mb": at_rest.now_mb,
         "peak_mb": memory and memory.peak_mb,
         "after_mb": memory and memory.now_mb,
-        "usual": {kind: _told([o for o in beside if o.kind == kind]) for kind in kinds},
+        "usual": {kind: told_of([o for o in beside if o.kind == kind]) for kind in kinds},
         "crowd": crowd,
     }
 
@@ -129,6 +137,7 @@
     parser.add_argument("--store-delay", type=float, default=0.01)
     parser.add_argument("--large-bytes", type=int, default=OBJECT_BYTES)
     parser.add_argument("--weight", type=float, default=60.0, help="of each store")
+    parser.add_argument("--from-start", action="store_true", help="the crowd is there before the program")
     parser.add_argument("--copies", action="store_true", help="lets the program keep copies of its own")
     parser.add_argument("--clients", type=int, default=4, help="usual clients")
     parser.add_argument("--usual", default="small-read", help="kinds of their requests, in turn")
--- a/starlinghaven/program/daemon.py
+++ b/starlinghaven/program/daemon.py
@@ -26,6 +26,7 @@
 from starlinghaven.program.operations import operator
 from starlinghaven.program.operations.console import PLACES, Console
 from starlinghaven.program.operations.handover import Handover
+from starlinghaven.program.operations.lateness import watch_lateness
 from starlinghaven.program.operations.memory_report import MemoryReport
 from starlinghaven.program.signals import held
 from starlinghaven.protocol import platform
@@ -204,6 +205,7 @@
                     await listener.open()
                 nursery.start_soon(self.handover.run, self.engine)
                 nursery.start_soon(self.memory_report.run)
+                nursery.start_soon(watch_lateness, self.counters)
                 for clients in self._clients:
                     await nursery.start(clients.run)
                 if self.fleet:
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -9,6 +9,7 @@
 import subprocess
 import sys
 import tempfile
+import time
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from functools import partial
@@ -22,10 +23,11 @@
 
 from starlinghaven.memory import own_account
 from starlinghaven.program.operations.handover import Handover
+from starlinghaven.program.operations.lateness import watch_lateness
 from starlinghaven.protocol import ProtocolError, console, handover
 from starlinghaven.protocol.resp import encode
 from starlinghaven.routing.engine import Engine
-from starlinghaven.routing.types import Hand
+from starlinghaven.routing.types import Counters, Hand
 from starlinghaven.transport.ring import Ring
 from tests.loopback import KEY, ROOT, Program, free_port, in_trio, operator, program
 
@@ -328,3 +330,26 @@
         await writer.words.stream.send_all(encode(b"RPC.CALL", b"1", b"pieces", fields, b"x")[18:])
         answer = await writer.words.read()
         assert answer is not None and answer[1] == b"RESULT"
+
+
+def test_a_late_loop_says_whether_the_process_was_at_work(caplog: pytest.LogCaptureFixture) -> None:
+    caplog.set_level("INFO")
+    counters = Counters()
+
+    async def late_twice() -> None:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(watch_lateness, counters)
+            await trio.sleep(0.01)
+            time.sleep(0.4)  # as a process that does not run
+            await trio.sleep(0.02)
+            until = time.process_time() + 0.4
+            while time.process_time() < until:
+                pass
+            await trio.sleep(0.02)
+            nursery.cancel_scope.cancel()
+
+    trio.run(late_twice)
+    stopped, at_work = [cast(tuple[int, int, int], record.args) for record in caplog.records]
+    assert stopped[0] >= 200 and stopped[1] < 200
+    assert at_work[0] >= 200 and at_work[1] >= 200
+    assert counters["late_turns"] == 2
