Take no process at a store's address for the one before it

Callers saw requests time out after a store had started anew under its id while connections of the process before were still open and silent, and a fresh store rested at once.

Cause: connections, dials and blame belong to a store's id. An id whose line names a later start has another process: its open connections were used on, a dial that was under way when the store left gave a connection to whoever answered, and attempts that ended later were blamed on the new process.

Why this works: a line with another start retires the connections of its store as one that has gone does; a dial remembers that its store has left or started anew; a flight knows which process it went to, and its end tells only of that one.

--- a/starlinghaven/decisions/health.py
+++ b/starlinghaven/decisions/health.py
@@ -22,12 +22,17 @@
 class Flight:
     """One attempt that is out."""
 
-    __slots__ = ("store", "source", "calm", "late")
+    __slots__ = ("store", "source", "calm", "late", "_states")
 
-    def __init__(self, store: str, source: str, calm: bool) -> None:
+    def __init__(self, store: StoreState, source: StoreState | None, calm: bool) -> None:
         """`calm`: the store was so little loaded that the answer tells its sending time."""
-        self.store, self.source, self.calm = store, source, calm
+        self.store, self.source, self.calm = store.m.store, source.m.store if source else "", calm
         self.late = False  # it has been out for longer than its class aims at
+        self._states = {self.store: store} | ({self.source: source} if source else {})
+
+    def is_at(self, state: StoreState) -> bool:
+        """Whether the attempt went to, or named, this process: not one that started anew under its id."""
+        return self._states.get(state.m.store, state) is state
 
 
 class StoreHealth:
@@ -83,9 +88,14 @@
     def blame(self, flight: Flight, now: float) -> None:
         """Blames store and source of an attempt a little."""
         for name in dict.fromkeys((flight.store, flight.source)):
-            if suspect := self._topology.stores.get(name):
+            if suspect := self._known(flight, name):
                 suspect.failed(SLIGHT, now)
 
+    def _known(self, flight: Flight, name: str) -> StoreState | None:
+        """Store or source of an attempt, unless it has started anew since."""
+        state = self._topology.stores.get(name)
+        return state if state and flight.is_at(state) else None
+
     def judge(self, flight: Flight, o: i.Outcome, now: float) -> None:
         """Gives the blame for an outcome to the store, to its source, or to both a little.
 
@@ -94,9 +104,8 @@
         """
         if o.code is i.Code.ERROR or o.code is i.Code.TIMEOUT and not flight.late:
             return
-        stores = self._topology.stores
-        store = stores.get(flight.store)
-        source = stores.get(flight.source) if flight.source != flight.store else None
+        store = self._known(flight, flight.store)
+        source = self._known(flight, flight.source) if flight.source != flight.store else None
         if not flight.late and o.note not in (i.Note.HIT, i.Note.STALE):
             if o.code is i.Code.OK or o.code in UNCLEAR:
                 self._filled(flight, float(o.code is i.Code.OK), now)
@@ -130,7 +139,7 @@
         Those of a cache that is worse than its peers tell of the cache: they must not stop others' fills.
         """
         topology = self._topology
-        store, source = topology.stores.get(flight.store), topology.stores.get(flight.source)
+        store, source = self._known(flight, flight.store), self._known(flight, flight.source)
         alone = store and store.bad > 2 * WELL and min((p.bad for p in topology.caches), default=1.0) <= WELL
         alone = alone or source in topology.parents and self.worse(source, topology.parents)
         if store and not alone and flight.source not in ("", flight.store):
--- a/starlinghaven/router.py
+++ b/starlinghaven/router.py
@@ -395,7 +395,7 @@
                 source.lent += 1
         self.load.spend(store, job.r, self.now + (0.0 if store.up else self.s.dial_ms), self.now)
         calm = source is not None and self.load.load(store, self.now) < CALM
-        self.flights[r.id, job.sent] = Flight(store.m.store, source.m.store if source else "", calm)
+        self.flights[r.id, job.sent] = Flight(store, source, calm)
         if len(self.flights) > FLIGHTS:
             self.flights.popitem(last=False)
         aim = min(job.c.target_ms + job.c.stretch * self.load.mean(r.cls), job.c.give_up_ms)  # on average
@@ -447,8 +447,9 @@
         job = self.jobs.get(o.request)
         if store := self.stores.get(flight.store):
             store.out = max(0, store.out - 1)
-            store.up = o.code in i.ANSWERED
-            self.load.learn(store, o.report, self.now)
+            if flight.is_at(store):
+                store.up = o.code in i.ANSWERED
+                self.load.learn(store, o.report, self.now)
         if flight.source != flight.store and (source := self.stores.get(flight.source)):
             source.lent = max(0, source.lent - 1)
         self.health.judge(flight, o, self.now)
--- a/starlinghaven/routing/engine.py
+++ b/starlinghaven/routing/engine.py
@@ -672,11 +672,12 @@
         self._finish(action.request, answer)
 
     def _listed(self, news: FleetNews) -> None:
-        before = self._stores.ids
+        before = self._stores.starts
         members = self._stores.update(news)
         if self.caches:
-            for gone in before - self._stores.ids:
-                self.caches.forget(gone)
+            now = self._stores.starts
+            for past in [store for store, started in before.items() if now.get(store) != started]:
+                self.caches.forget(past)
         self.heard &= self._stores.ids
         self.counters.add("lists")
         self._decide(i.Members(news.kind, tuple(members)))
--- a/starlinghaven/routing/store_table.py
+++ b/starlinghaven/routing/store_table.py
@@ -42,6 +42,11 @@
         """Ids of all stores that are listed and not gone."""
         return set(self._stores)
 
+    @property
+    def starts(self) -> dict[str, float]:
+        """When each listed store started (Unix ms, 0 for long ago): it changes with its process."""
+        return {store.id: store.started_unix_ms for store in self._stores.values()}
+
     def location(self, store: str) -> Location:
         """Where a store is listed now; one that is not listed shares its location with no other."""
         line = self._stores.get(store)
--- a/starlinghaven/transport/pool.py
+++ b/starlinghaven/transport/pool.py
@@ -89,6 +89,7 @@
 
     def __init__(self) -> None:
         self.done, self.failure = trio.Event(), ""
+        self.forgotten = False  # its store has left meanwhile: whoever answers now may be another one
 
 
 class Pool(Generic[L]):
@@ -131,7 +132,9 @@
                     self.retire(link)
 
     def forget(self, owner: str) -> None:
-        """A store has left: its connections take nothing new."""
+        """A store has left, or started anew: its connections take nothing new, nor does one being dialed."""
+        for place, dial in self._dialing.items():
+            dial.forgotten = dial.forgotten or place[0] == owner
         for place, links in self._links.items():
             if place[0] == owner:
                 for link in links:
@@ -192,7 +195,10 @@
         try:
             with trio.move_on_after(self._dial_s):
                 link = await self._connect(place)
-            if link is None:
+            if link is not None and dial.forgotten:
+                link.connection.discard()
+                link, dial.failure = None, "its store has left or started anew"
+            elif link is None:
                 dial.failure = f"not up within {self._dial_s} s"
         except (OSError, NoMemory, ValueError) as error:  # ValueError: a listed address that is none
             dial.failure = str(error) or type(error).__name__
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -335,6 +335,19 @@
     assert d.serve("x").store == home
 
 
+def test_a_store_that_started_anew_is_not_blamed_for_attempts_at_the_process_before_it() -> None:
+    d = Driver()
+    home = d.serve("x").store
+    open_at_home = [d.next_id for _ in range(8) if d.get(d.ask("x")).store == home]
+    assert open_at_home
+    member = next(m for m in FLEET if m.store == home)
+    d.say(Members(ListKind.PARTIAL, (replace(member, started_ms=d.now),)))
+    for number in open_at_home:
+        d.say(Outcome(number, 0, home, Code.NO_CONNECTION, 40.0, final=True))
+    state = d.router.topology.stores[home]
+    assert state.bad == 0.0 and state.out == 0
+
+
 def test_what_can_not_be_sent_in_a_hurried_clients_time_is_refused_before_it_costs_any() -> None:
     """Work is 300 ms at full pace: 150 ms can't hold it, 290 ms may, as sizes are a little noisy."""
     d = Driver(pace_kb_per_s=1000.0)
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -173,6 +173,35 @@
         assert p.ready(("s-1", address)) is None and p.ready(("s-2", address)) is not None
 
 
+@in_trio
+async def test_a_dial_for_a_store_that_left_meanwhile_gives_no_connection_to_who_answers(
+    tmp_path: Path,
+) -> None:
+    connected, go_on = trio.Event(), trio.Event()
+    real = Pool._connect
+
+    async def slow(self: Pool[Plain], place: tuple[str, str]) -> Plain:
+        link = await real(self, place)
+        connected.set()
+        await go_on.wait()
+        return link
+
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(Pool, "_connect", slow)
+        async with echo() as address, pool(accounts(1 << 20), dial_s=5.0) as p:
+            async with trio.open_nursery() as nursery:
+
+                async def dial() -> None:
+                    with pytest.raises(DialFailed):
+                        await p.link(("s-1", address))
+
+                nursery.start_soon(dial)
+                await connected.wait()
+                p.forget("s-1")
+                go_on.set()
+            assert p.ready(("s-1", address)) is None and p.count == 0
+
+
 @asynccontextmanager
 async def served(
     given: ConnectionAccounts, most: int = 4
