Don't take another program for the successor that had its number

Callers would have lost new connections at a SIGTERM: a process stops accepting at once where a successor serves beside it, and it took any process with the number in the file for one.

Cause: the file has a process number alone, and numbers are used again. The new file has the start of the process beside its number (proc(5)); a version without that file is believed as before.

Evidence: test_a_number_that_another_process_has_by_now_is_no_successor failed before.

--- a/starlinghaven/program/operations/handover.py
+++ b/starlinghaven/program/operations/handover.py
@@ -26,6 +26,7 @@
 KEPT_S = 120.0  # seconds for which a store's return is remembered: it is warm long before
 MOST_PATH = 100  # bytes of a Unix socket's path: the system takes 107
 MOST = 4096  # stores remembered at most
+STAT_START = 19  # field of a process's start in its `stat`, counted from the one behind its name
 MOST_PROCESS = 2**22  # number of a process, at most (proc(5), pid_max)
 
 
@@ -34,6 +35,14 @@
     return numbers.finite(unix_ms, numbers.MOST_UNIX_MS)
 
 
+def _started(number: int) -> str:
+    """When a process started, in clock ticks since the system's start (proc(5), stat); empty if unknown."""
+    try:
+        return Path(f"/proc/{number}/stat").read_text().rpartition(")")[2].split()[STAT_START]
+    except (OSError, IndexError):
+        return ""
+
+
 class Handover:
     """The newest process's number, and the stores excluded by hand. Without a folder, nothing is kept."""
 
@@ -69,6 +78,7 @@
 
     def serving(self) -> None:
         """This process is ready: an older one may leave the clients to it."""
+        self._write("serving-start", f"{os.getpid()} {_started(os.getpid())}")
         self._write("serving", str(os.getpid()))
 
     def successor(self) -> str | None:
@@ -79,11 +89,22 @@
             number = numbers.decimal(path.read_text().strip(), MOST_PROCESS)
             if number not in (0, os.getpid()):  # 0 would be this process and its group
                 os.kill(number, 0)
-                return self.door(number)
+                if self._is_same(number):
+                    return self.door(number)
+                log.info("no successor: another program has the number of process %d", number)
         except (OSError, ValueError, ProtocolError) as error:
             log.info("no successor: %s", error)
         return None
 
+    def _is_same(self, number: int) -> bool:
+        """Whether a process with this number is the one that said it serves: numbers are used again."""
+        path = self._path("serving-start")
+        try:
+            told = path.read_text().split() if path else []
+        except FileNotFoundError:
+            return True  # a version that did not say when it started
+        return told[:1] != [str(number)] or len(told) < 2 or told[1] == _started(number)
+
     def door(self, number: int | None = None) -> str:
         """Where a process, this one if none is named, takes connections over. Its old door is removed."""
         path = self._path(f"door-{number or os.getpid()}")
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -34,6 +34,15 @@
 CACHE = "s-00000001"
 
 
+def test_a_number_that_another_process_has_by_now_is_no_successor(tmp_path: Path) -> None:
+    parent = os.getppid()
+    (tmp_path / "starlinghaven-serving").write_text(str(parent))
+    (tmp_path / "starlinghaven-serving-start").write_text(f"{parent} 1")
+    assert Handover(str(tmp_path)).successor() is None
+    (tmp_path / "starlinghaven-serving-start").unlink()
+    assert Handover(str(tmp_path)).successor() is not None
+
+
 def read(text: bytes) -> console.Call | None:
     ring = Ring(own_account(1 << 20))
     ring.put(text)
