Show a cold parent pushed over after an outage of discovery (review, case 10)

Cause: without news for 7 s only a store that an attempt could not reach is taken for cold, and a parent is named as a source.

--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,10 +1,11 @@
 # ruff: noqa: E501
-"""Clients that read slowly hold the signed front's memory, and others' requests end with no answer."""
+"""A parent starts cold while discovery is down. Deemed told after 7 s, the proxy still fills from it at full rate."""
 
 from __future__ import annotations
 
 import asyncio
-import socket
+import itertools
+import math
 import sys
 import time
 from pathlib import Path
@@ -13,155 +14,129 @@
 
 import bench
 
-BASE = "https://documents.example"
-OBJECT_BYTES = 240_000  # the largest object (PROTOCOL)
-READERS = 2  # of 128 places for connections
-AHEAD = 30  # receipts that each of them asks for at once, one behind the other
-PACE = 400_000  # bytes a second that each of them reads: at most 1 MB a second by the page
-PLAY_S = 14.0
-CLAIM = b"claim " * 1_000  # a body of 6 KB; a write brings up to 48,000 bytes
+WEIGHT = 6.0  # transfers that the parent sends at full pace (WeightKind nominal)
+SENDING_S, SIZE_KB = 0.1, 710  # of every request, at 7,100 KB a second
+COLD_FROM, COLD_S, FACTOR, FALL_S = 0.079, 22.0, 2.0, 1.0  # as in the settings
+OUTAGE_S = 8.0  # of discovery
+BEFORE_S = 0.2  # of it, ahead of the parent's start
+TOLD_S = 7.0  # after which what the change log has to tell counts as told
+QUIET_S = 7.35  # after the parent's start until clients ask again: told, with some 50 ms to spare
+RATE = 200.0  # requests a second
+CLIENTS = 10
+
+
+class Parent(bench.Store):
+    """Asked only by caches that fill from it. It falls over when it gets too much for its warmth."""
+
+    def __init__(self, *args: object) -> None:
+        super().__init__(*args)  # type: ignore[arg-type]
+        self.began, self.told_at, self.fell = 0.0, math.inf, ""
+        self.fills: list[float] = []
+        self.most = (0.0, "")
+
+    def fill(self) -> None:
+        now = time.time()
+        self.fills.append(now)
+        if not self.began or now > self.began + COLD_S or self.fell:
+            return
+        n = FACTOR * (COLD_FROM + (1 - COLD_FROM) * (now - self.began) / COLD_S) * WEIGHT * FALL_S / SENDING_S
+        bound = n + (2 * math.sqrt(n) + 2 if n >= 30 else 3 * math.sqrt(n) + 3)
+        recent = [at for at in self.fills[-1000:] if at > now - FALL_S and at >= self.began]
+        told = sum(at >= self.told_at for at in recent)
+        self.most = max(self.most, (len(recent) / bound, f"{len(recent)} of {bound:.0f}"))
+        if len(recent) > bound:
+            self.fell = (
+                f"{len(recent)} fills in {FALL_S:.0f} s, {now - self.began:.2f} s after its start; N={n:.0f}, it "
+                f"falls above {bound:.0f}; {told} of them from a proxy that counted as told"
+            )
+            self.broken = told > 2 / 3 * len(recent)
+            self.record.say(f"{self.name}: FALLS OVER: {self.fell}")
 
 
 class Cache(bench.Store):
-    def answer(self, call: str, order: dict[str, str]) -> tuple[float, str, bytes]:
-        return 0.005, "served", b"r" * OBJECT_BYTES
+    """Lacks every object that is asked for, and fills it from the source that the order names."""
 
+    parent: Parent
 
-class Origin(bench.Store):
     def answer(self, call: str, order: dict[str, str]) -> tuple[float, str, bytes]:
-        return 0.04, "served", b"taken" if order["c"] == "depot" else b"r" * OBJECT_BYTES
-
-
-class HttpClient:
-    """HTTP/1.1, one request at a time."""
-
-    def __init__(self, pace: float = 0.0) -> None:
-        self._pace, self._data = pace, b""
-        self.read = 0
-        self._began = time.monotonic()
-
-    async def connect(self, port: int) -> None:
-        self._sock = socket.socket()
-        if self._pace:
-            self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 32 * 1024)
-        self._sock.setblocking(False)
-        await asyncio.get_running_loop().sock_connect(self._sock, (bench.HOST, port))
-
-    async def _more(self) -> None:
-        if self._pace:
-            ahead = self.read / self._pace - (time.monotonic() - self._began)
-            if ahead > 0:
-                await asyncio.sleep(ahead)
-        got = await asyncio.get_running_loop().sock_recv(self._sock, 16 * 1024)
-        if not got:
-            raise ConnectionResetError("the connection was closed")
-        self.read += len(got)
-        self._data += got
-
-    async def send(self, data: bytes) -> None:
-        await asyncio.get_running_loop().sock_sendall(self._sock, data)
-
-    async def answer(self) -> tuple[int, bytes]:
-        """The next answer. Errors: ConnectionError, if the connection ends without."""
-        while b"\r\n\r\n" not in self._data:
-            await self._more()
-        head, _, self._data = self._data.partition(b"\r\n\r\n")
-        size = next((int(x[15:]) for x in head.lower().split(b"\r\n") if x.startswith(b"content-length:")), 0)
-        while len(self._data) < size:
-            await self._more()
-        body, self._data = self._data[:size], self._data[size:]
-        return int(head.split()[1]), body
-
-    def close(self) -> None:
-        self._sock.close()
-
-
-def get(n: int) -> bytes:
-    target = bench.signed(BASE, f"/pages/17/{n:016x}")
-    return f"GET {target} HTTP/1.1\r\nHost: documents.example\r\n\r\n".encode()
-
-
-def post(key: str) -> bytes:
-    head = f"POST {bench.signed(BASE, '/claims')} HTTP/1.1\r\nHost: documents.example\r\n"
-    return f'{head}Idempotency-Key: "{key}"\r\nContent-Length: {len(CLAIM)}\r\n\r\n'.encode() + CLAIM
-
-
-async def reader(port: int, number: int, until: float, seen: dict[str, int]) -> None:
-    """Asks for some receipts at once and reads them, again and again."""
-    client = HttpClient(PACE if bench.TROUBLE else 0.0)
-    try:
-        await client.connect(port)
-        while time.monotonic() < until:
-            await client.send(b"".join(get(AHEAD * number + n) for n in range(AHEAD)))
-            refused = False
-            for _ in range(AHEAD):
-                status, _ = await client.answer()
-                seen[f"answered {status}"] = seen.get(f"answered {status}", 0) + 1
-                refused = refused or status == 503
-                if time.monotonic() > until:
-                    return
-            if refused:
-                await asyncio.sleep(1.0)  # the time to come back that it was told
-    except ConnectionError:
-        seen["connection ended"] = seen.get("connection ended", 0) + 1
-    finally:
-        client.close()
+        if order.get("up") == self.parent.name:
+            self.parent.fill()
+        return SENDING_S, "served", b"x" * 500
 
 
 async def case(record: bench.Record, folder: Path) -> int:
-    cache = Cache(record, "s-00000001", "edge-1", "petit", weight=400.0)
-    origin = Origin(record, "s-00000002", "nord", "origin", weight=400.0)
-    cache.quiet = True
+    cache = Cache(record, "s-00000001", "edge-1", "petit", 400.0)
+    parent = Parent(record, "s-00000004", "nord", "parent", WEIGHT)
+    origin = bench.Store(record, "s-00000002", "nord", "origin", 400.0)
+    cache.parent = parent
     log = bench.ChangeLog(record)
-    for part in (cache, origin, log):
+    for part in (cache, parent, origin):
+        part.quiet = True
         await part.start()
-    port, http = bench.free_port(), bench.free_port()
-    operator = folder / "operator.toml"
-    operator.write_text(
-        f'[signed]\nlisten = "{bench.HOST}:{http}"\nbase = "{BASE}"\nalgorithms = ["HS256"]\n'
-        f'keys = "{bench.key_file(folder)}"\nconnections = 128\n'
-        '[[signed.route]]\npath = "/pages/{family}/{object}"\nclass = "fiches"\n'
-        '[[signed.route]]\npath = "/claims"\nclass = "depot"\npatience_ms = 2500\n'
-    )
-    told = bench.settings()
-    edge = bench.Edge(
-        record,
-        "edge",
-        folder,
-        bench.configuration("n0", port, log.address, [cache, origin], told, memory_mb=96),
-    )
+    await log.start()
+    port = bench.free_port()
+    config = bench.configuration("n0", port, log.address, [cache, parent, origin], bench.settings())
+    edge = bench.Edge(record, "edge", folder, config)
     (folder / "tmp").mkdir()
-    edge.start(folder / "tmp", {"STARLINGHAVEN_OPERATOR": str(operator)})
+    edge.start(folder / "tmp")
     if not await edge.ready():
         raise bench.CouldNotRun("the proxy is not ready")
-
-    until, seen = time.monotonic() + PLAY_S, dict[str, int]()
-    readers = [asyncio.create_task(reader(http, n, until, seen)) for n in range(READERS)]
-    await asyncio.sleep(2.0)
-    answered = lost = 0
-    while time.monotonic() < until - 2.0:
-        key = bench.new_call()
-        client = HttpClient()
-        await client.connect(http)
-        try:
-            async with asyncio.timeout(4.0):
-                await client.send(post(key))
-                status, _ = await client.answer()
-            answered += 1
-            record.say(f"claims officer: claim {key}: {status}")
-        except (ConnectionError, TimeoutError) as error:
-            lost += 1
-            record.say(f"claims officer: claim {key}: NO ANSWER, {type(error).__name__}")
-        client.close()
-        await asyncio.sleep(0.2)
-    await asyncio.gather(*readers)
-    record.say(f"readers: {seen}")
-    record.say(f"claims: {answered} answered, {lost} ended with no answer")
+    clients = [bench.Client(record, f"client {n}") for n in range(CLIENTS)]
+    counts: dict[str, int] = {}
+    numbers = itertools.count(1)
+
+    async def one(client: bench.Client) -> None:
+        n = next(numbers)
+        fields = {"ttl": 3000, "row": f"{n:016x}", "block": 0, "family": n % 256, "heap": SIZE_KB}
+        got = await client.ask("fiches", fields)
+        word = got[1].decode() if got else "no answer"
+        counts[word] = counts.get(word, 0) + 1
+
+    async def traffic(seconds: float) -> None:
+        for client in clients:
+            client.close()
+            await client.connect(port)  # clients close idle connections after 4 s
+        began, sent = time.monotonic(), 0
+        tasks = set()
+        while time.monotonic() < began + seconds:
+            while sent < RATE * (time.monotonic() - began):
+                tasks.add(asyncio.create_task(one(clients[sent % CLIENTS])))
+                sent += 1
+            await asyncio.sleep(0.002)
+        await asyncio.wait(tasks, timeout=4.0)
+
+    await traffic(3.0)
+    record.say(f"before the outage: {counts}, {len(parent.fills)} fills from {parent.name}")
+    if bench.TROUBLE:
+        record.say("discovery is down")
+        log.stop()
+    down_at = time.time()
+    await asyncio.sleep(BEFORE_S)
+    # A release: the parent is started anew, cold and empty. The change log holds it from now on.
+    parent.began, parent.told_at = time.time(), time.time() + TOLD_S
+    log.line(parent, bench.READY, bench.ZONES, bench.KINDS, started_ms=int(1000 * parent.began))
+
+    async def returns() -> None:
+        await asyncio.sleep(down_at + OUTAGE_S - time.time())
+        record.say("discovery is back")
+        await log.start()
+
+    back = asyncio.create_task(returns()) if bench.TROUBLE else None
+    await asyncio.sleep(parent.began + QUIET_S - time.time())
+    counts.clear()
+    before = len(parent.fills)
+    record.say(f"clients ask again, {time.time() - parent.began:.2f} s after the parent's start")
+    await traffic(3.0)
+    if back:
+        await back
+    record.say(
+        f"then: {counts}, {len(parent.fills) - before} fills from {parent.name}, the most: {parent.most[1]}"
+    )
     edge.signal(bench.signal.SIGUSR1)
     await asyncio.sleep(0.3)
-    if not answered and not lost:
-        raise bench.CouldNotRun("no claim was sent")
-    return bench.BROKEN if lost else bench.HELD
+    if not before or counts.get("RESULT", 0) < 100:
+        raise bench.CouldNotRun("too little was asked")
+    return bench.BROKEN if parent.fell and parent.broken else bench.HELD
 
 
 if __name__ == "__main__":
--- a/review/standins-2/bench.py
+++ b/review/standins-2/bench.py
@@ -160,13 +160,21 @@
         self.record = record
         self.events: list[tuple[int, int, bytes]] = []
         self._new = asyncio.Event()
+        self._writers: set[asyncio.StreamWriter] = set()
         self.address = ""
 
     async def start(self) -> None:
-        server = await asyncio.start_server(self._serve, HOST, 0)
+        port = int(self.address.rpartition(":")[2] or 0)  # the same again after an outage
+        server = await asyncio.start_server(self._serve, HOST, port)
         self._server = server
         self.address = f"{HOST}:{server.sockets[0].getsockname()[1]}"
 
+    def stop(self) -> None:
+        """An outage: connections are reset, and refused until the next start. Events are kept."""
+        self._server.close()
+        for writer in list(self._writers):
+            writer.transport.abort()
+
     def tell(self, kind: int, payload: bytes) -> None:
         self.events.append((len(self.events) + 2, kind, payload))
         self._new.set()
@@ -185,6 +193,7 @@
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+            self._writers.add(writer)
             last = int.from_bytes(await reader.readexactly(8), "big")
             beat = time.monotonic() + 1.0
             while not reader.at_eof():
@@ -199,6 +208,7 @@
                 await writer.drain()
                 with contextlib.suppress(asyncio.TimeoutError):
                     await asyncio.wait_for(new.wait(), max(beat - time.monotonic(), 0.0))
+        self._writers.discard(writer)
         with contextlib.suppress(ConnectionError):
             writer.close()
 
