Take a store for cold unless a connection proves that it is the same process

A parent that a release starts anew while the change log is down got every miss of the proxy, also once its start counted as told (7 s): 64 fills in 0.35 s where it bears 64 in a second. It fell over.

Cause: without news for 7 s `ColdBudgets._started` took a store for cold only if an attempt had failed to reach it since. No sign of a start was taken for no start; a source is never the store of an attempt, and a store that nothing reached in the outage shows no sign either.

Why this works: without news for 7 s (and over a gap in the events) the latest start that is still possible is taken, unless one connection, up since before the last news, has answered since the moment that counts as told: a connection ends with the process that accepted it.

The origin is never cold.

tests/test_lease.py: two tests stated the old rule in passing. Caches that are to stay warm answer over an old connection now; the gap's test begins after a new process's first window, in which nothing goes to cold stores. Neither asserts less than before.

A log line (`stores presumed cold=`) and a counter tell which stores are taken for cold.

--- a/starlinghaven/decisions/cold.py
+++ b/starlinghaven/decisions/cold.py
@@ -22,6 +22,7 @@
     def __init__(self, settings: i.Settings, random: Random, now: float) -> None:
         self._settings, self._random, self._began = settings, random, now
         self.news_at = math.inf  # every start up to then is known; for ever, where nobody says otherwise
+        self._gap_from = self._gap_until = -math.inf  # in which news was lost that will never come
 
     def _figures(self, store: StoreState) -> tuple[float, float, float]:
         """The part of its capacity with which a store starts, ms until it is warm, multiple that fells it."""
@@ -42,11 +43,46 @@
     def _started(self, store: StoreState, now: float) -> float:
         """When a store started at the latest.
 
-        A start counts as known some time after it though nobody hears of it: without news for longer, one
-        that could not be reached since may have started anew.
+        A start counts as known some time after it though nobody hears of it. Without news for longer, a store
+        may have started anew unless a connection proves that it is the same process.
         """
-        unheard = now - self.news_at > COUNTS_AS_KNOWN_MS and store.unreached_at > self.news_at
-        return max(store.m.started_ms, store.unreached_at if unheard else 0.0)
+        return max(store.m.started_ms, self._started_unheard(store, now))
+
+    def _started_unheard(self, store: StoreState, now: float) -> float:
+        """The latest start that counts as known though no news told of it; -inf where there can be none."""
+        started, known_until = -math.inf, now - COUNTS_AS_KNOWN_MS
+        if store.proved_at < self._gap_until:
+            started = store.continuity.latest_start(self._gap_from, self._gap_until)
+        if known_until > self.news_at:
+            started = max(started, store.continuity.latest_start(self.news_at, known_until))
+            if store.unreached_at > max(self.news_at, store.continuity.until_ms):
+                started = max(started, store.unreached_at)
+        return started
+
+    def presumed_started(self, store: StoreState, now: float) -> bool:
+        """Whether a store is taken for cold though no news told that it started."""
+        if (
+            store.m.kind == self._settings.origin_kind
+            or self._started_unheard(store, now) <= store.m.started_ms
+        ):
+            return False
+        return self.warmth(store, now) < 1.0
+
+    def answered(self, store: StoreState, connected_ms: float, written_ms: float) -> None:
+        """A store answered a request of `written_ms` on a connection that was up at `connected_ms`."""
+        store.continuity.answered(connected_ms, written_ms)
+        if store.continuity.latest_start(self._gap_from, self._gap_until) == -math.inf:
+            store.proved_at = self._gap_until
+
+    def missed(self, now: float) -> None:
+        """Starts since the last news may have been missed for good."""
+        open_gap = now - self._gap_until < max(self._settings.cold_ms, self._settings.parent_cold_ms)
+        self._gap_from = min(self.news_at, self._gap_from) if open_gap else self.news_at
+        self._gap_until = now
+
+    def listed_whole(self) -> None:
+        """The whole list came: the starts in it make up for those that were missed."""
+        self._gap_from = self._gap_until = -math.inf
 
     def sharers(self, store: StoreState) -> int:
         """The proxies that send to a store."""
--- a/starlinghaven/decisions/health.py
+++ b/starlinghaven/decisions/health.py
@@ -22,11 +22,15 @@
 class Flight:
     """One attempt that is out."""
 
-    __slots__ = ("store", "source", "calm", "late", "_states")
+    __slots__ = ("store", "source", "calm", "late", "sent_ms", "_states")
 
-    def __init__(self, store: StoreState, source: StoreState | None, calm: bool) -> None:
-        """`calm`: the store was so little loaded that the answer tells its sending time."""
+    def __init__(self, store: StoreState, source: StoreState | None, calm: bool, sent_ms: float) -> None:
+        """`calm`: the store was so little loaded that the answer tells its sending time.
+
+        `sent_ms`: when it was decided; it is written then or later.
+        """
         self.store, self.source, self.calm = store.m.store, source.m.store if source else "", calm
+        self.sent_ms = sent_ms
         self.late = False  # it has been out for longer than its class aims at
         self._states = {self.store: store} | ({self.source: source} if source else {})
 
--- a/starlinghaven/decisions/stores.py
+++ b/starlinghaven/decisions/stores.py
@@ -6,6 +6,7 @@
 from collections import deque
 
 from starlinghaven import interface as i
+from starlinghaven.decisions.continuity import ProcessContinuity
 
 GRAVE = 0.35  # weight of an outcome that only a sick store gives
 SICK = 0.5  # share of bad outcomes from which a store is stepped over
@@ -19,6 +20,7 @@
     __slots__ = (
         *("m", "out", "lent", "others", "busy", "hits", "reported_at", "bad", "failed_at", "until", "rest"),
         *("spent", "total", "free_at", "heard", "named", "share", "up", "lost", "unreached_at"),
+        *("continuity", "proved_at"),
     )
 
     def __init__(self, member: i.Member) -> None:
@@ -33,6 +35,8 @@
         self.up = False  # its last attempt was answered, so a connection to it is up
         self.lost = False  # it could not be reached since it last worked
         self.unreached_at = -math.inf  # when no connection to it came up last
+        self.continuity = ProcessContinuity()
+        self.proved_at = -math.inf  # end of the last gap in the news over which it was the same process
         self.share = 1.0  # weight in the hash that all proxies together found
         self.spent: deque[tuple[float, float]] = deque()  # cold budget: when and how much
         self.total = 0.0
--- a/starlinghaven/decisions/topology.py
+++ b/starlinghaven/decisions/topology.py
@@ -40,5 +40,7 @@
             state = self.stores[member.store] = StoreState(member)
             if known:
                 state.out, state.lent = known.out, known.lent
+                # It may have been sent to as cold already, when its start counted as known without news.
+                state.spent, state.total, state.free_at = known.spent, known.total, known.free_at
         else:
             known.m = member
--- a/starlinghaven/interface.py
+++ b/starlinghaven/interface.py
@@ -234,6 +234,7 @@
     final: bool = False
     note: Note = Note.NONE
     waited_ms: float = 0.0
+    link_age_ms: float | None = None  # since the connection on which it was answered came up, where known
     report: Mapping[str, float] = field(default_factory=dict)
 
 
@@ -272,7 +273,7 @@
 
 @dataclass(frozen=True, slots=True)
 class NewsMissed:
-    """Purges up to now may have been missed for good, of any object."""
+    """Purges and starts up to now may have been missed for good, of any object and store."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/starlinghaven/program/caches.py
+++ b/starlinghaven/program/caches.py
@@ -52,6 +52,7 @@
     def __init__(self, connection: Connection, engine: Engine, address: str, where: Where) -> None:
         super().__init__(connection)
         self.address = address
+        self.connected_ms = engine.clock.now()
         self.out: dict[str, _Out] = {}
         self._engine, self._where = engine, where
         self._reader = caches.reader()
@@ -124,7 +125,7 @@
         self._where[attempt] = attempt.link = self
         self.out[attempt.ask.id] = _Out(attempt, trio.current_time(), self.connection.queued + len(text))
         self.begin()
-        attempt.written = True
+        attempt.written, attempt.connected_ms = True, self.connected_ms
         self.connection.write(text)
 
     def _whole(self, held: _Out) -> bool:
--- a/starlinghaven/router.py
+++ b/starlinghaven/router.py
@@ -139,6 +139,7 @@
                 self.news_at = self.cold.news_at = self.now - event.age_ms
             case i.NewsMissed():
                 self.purges.raise_floor(self.now)
+                self.cold.missed(self.now)
             case i.Streaming():
                 if job := self.jobs.get(event.request):
                     job.streams = True
@@ -176,6 +177,10 @@
         """Names of the stores that are stepped over just now."""
         return self.health.resting(self.now)
 
+    def presumed_started(self, now: float) -> set[str]:
+        """Names of the stores that are taken for cold though no news told that they started."""
+        return {name for name, s in self.stores.items() if self.cold.presumed_started(s, now)}
+
     # -- placement ----------------------------------------------------------------------------
 
     def _ranking(self, role: list[StoreState], *words: object) -> list[StoreState]:
@@ -272,6 +277,8 @@
             if self.s.asks_for_list:
                 out.append(i.SetTimer(LIST_RETRY_MS * (1 + self.random.random()), WATCH_TOKEN))
             return
+        if event.kind is i.ListKind.COMPLETE:
+            self.cold.listed_whole()
         self.topology.update(event)
         self.rankings.clear()
 
@@ -395,7 +402,7 @@
                 source.lent += 1
         self.load.spend(store, job.r, self.now + (0.0 if store.up else self.s.dial_ms), self.now)
         calm = source is not None and self.load.load(store, self.now) < CALM
-        self.flights[r.id, job.sent] = Flight(store, source, calm)
+        self.flights[r.id, job.sent] = Flight(store, source, calm, self.now)
         if len(self.flights) > FLIGHTS:
             self.flights.popitem(last=False)
         aim = min(job.c.target_ms + job.c.stretch * self.load.mean(r.cls), job.c.give_up_ms)  # on average
@@ -449,6 +456,8 @@
             store.out = max(0, store.out - 1)
             if flight.is_at(store):
                 store.up = o.code in i.ANSWERED
+                if store.up and o.link_age_ms is not None:
+                    self.cold.answered(store, self.now - o.link_age_ms, flight.sent_ms)
                 self.load.learn(store, o.report, self.now)
         if flight.source != flight.store and (source := self.stores.get(flight.source)):
             source.lent = max(0, source.lent - 1)
--- a/starlinghaven/routing/engine.py
+++ b/starlinghaven/routing/engine.py
@@ -51,6 +51,7 @@
     Taken,
     Ticket,
 )
+from starlinghaven.routing.unheard_starts import UnheardStarts
 
 log = logging.getLogger(__name__)
 
@@ -94,6 +95,7 @@
         self._inbox = Inbox(clock)
         self._backlog = Backlog(self._inbox, counters)
         self._crowd = Crowd(clock)
+        self._unheard_starts = UnheardStarts(counters)
         self.caches: CacheSide | None = None
         self.tell: Callable[[str, bool], None] | None = None  # to other proxies: store, silent; never waits
         self.news_unread: Callable[[], bool] | None = None  # whether something of the change log lies unread
@@ -230,6 +232,7 @@
         if now - self._clock_observed_at >= OBSERVE_MS:
             self._clock_observed_at = now
             self.clock.observe()
+            self._unheard_starts.note(now, self._router.presumed_started)
         if self.own_copies.lease.turn(now):
             self.counters.add("pauses")
         for news in self._inbox.news():
@@ -329,14 +332,19 @@
             case PurgeNews():
                 self._purge(event)
             case NewsRequired():
-                self.own_copies.lease.require()
-                self._decide(i.NewsCurrent(0.0))
+                self._require_news()
             case NewsCurrent():
                 self.own_copies.lease.renew(event.as_of_ms)
                 self._decide(i.NewsCurrent(self.clock.now() - event.as_of_ms))
             case NewsMissed():
                 self._missed()
 
+    def _require_news(self) -> None:
+        """From now on news is awaited. What was given first is current; a file read later proves nothing."""
+        if not self.own_copies.lease.required:
+            self.own_copies.lease.require()
+            self._decide(i.NewsCurrent(0.0))
+
     def _purge(self, news: PurgeNews) -> None:
         self.counters.add("purges")
         made = self.clock.latest(news.unix_ms)
@@ -496,16 +504,18 @@
                     self.own_copies.keep(a, e)
                 result = Result.UNCHANGED if e.unchanged else Result.SERVED
                 self._finish(a.request, Answer(result, e.body, tag=e.tag))
+        now = self.clock.now()
         self._decide(
             i.Outcome(
                 request=a.request,
                 attempt=a.number,
                 store=a.store,
                 code=e.code,
-                took_ms=self.clock.now() - a.sent_ms,
+                took_ms=now - a.sent_ms,
                 final=a.request not in self._open,
                 note=NOTES.get(e.note, i.Note.NONE),
                 waited_ms=e.waited_ms,
+                link_age_ms=None if a.connected_ms is None else now - a.connected_ms,
                 report=e.report,
             )
         )
--- a/starlinghaven/routing/types.py
+++ b/starlinghaven/routing/types.py
@@ -102,6 +102,7 @@
     put_off: bool = False  # its time-out was put off once, to read its answer
     timer: Due[Any] | None = None  # its time-out
     written: bool = False  # it has gone out, in whole or in part, and may run
+    connected_ms: float | None = None  # by when its connection had come up, once it is written on one
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -134,6 +134,7 @@
 
 def test_after_a_gap_every_object_is_asked_for_as_if_just_purged() -> None:
     d = Driver()
+    d.now += d.router.s.fall_ms  # a new process sends nothing to cold stores: after a gap all may be cold
     d.say(i.NewsMissed())
     d.now += 100
     assert 0 < Driver.get(d.ask("a1")).age_ms <= 100
@@ -151,6 +152,9 @@
     assert d.router.cold.warmth(store, d.router.now) == 1.0, "the log would tell"
     d.now += COUNTS_AS_KNOWN_MS + 100
     d.say(i.Timer(-5))
+    for other in d.router.caches:
+        if other is not store:  # answers on a connection of before the last news
+            d.router.cold.answered(other, connected_ms=0.0, written_ms=d.now)
     assert d.router.cold.warmth(store, d.router.now) < 1.0, "nobody told, but it counts as known"
     assert all(d.router.cold.warmth(s, d.router.now) == 1.0 for s in d.router.caches if s is not store)
     d.say(i.NewsCurrent(0.0))
