List open tags and begin to hold answers at one moment, the offer of a connection

In upgrades under load a request now and then is never answered, its connection open: 9 of 36,577 in 20 upgrades here. Nothing was logged.

Cause: `Client.hand_over` began to hold answers, then `Giver.hand` waited for its lock, then the open tags were listed. An answer in between took its tag off the list and was held; passed on, it found no such tag at the newer process, which dropped it without a word.

Evidence: with only the new line and counter (`answers_unclaimed`) added: 9 lost, 9 lines, each some 20 ms after its request was sent.

Why this works: `Client.offer` lists the tags and begins to hold, with nothing awaited between. An answer before it is written by the older process, one after it is listed as open. What is held counts as owed, so that the process does not end ahead of it.

--- a/starlinghaven/program/fronts/platform.py
+++ b/starlinghaven/program/fronts/platform.py
@@ -40,7 +40,7 @@
         """Whether nothing more can be handed over."""
 
     async def hand(self, client: Client) -> bool:
-        """Hands a resting connection over; whether the other process has it."""
+        """Hands a resting connection over, by what `client.offer` lists; whether the other process has it."""
 
     def answered(self, client: Client, tag: int, text: bytes) -> None:
         """Passes an answer on to the process that has the connection."""
@@ -310,9 +310,11 @@
 
     def returned(self, tag: int, text: bytes = b"") -> None:
         """What an older process answers to a tag that it kept; it fails if that process is gone."""
-        if self.lent and tag in self.lent:
-            self.lent.remove(tag)
-            self._deliver(tag, (text or platform.failed(tag),))
+        if not self.lent or tag not in self.lent:
+            self._front.note_unclaimed(tag, "it was not open, or was withdrawn")
+            return
+        self.lent.remove(tag)
+        self._deliver(tag, (text or platform.failed(tag),))
 
     def _deliver(self, tag: int, text: Text) -> None:
         """Gives a final answer to whoever has the connection."""
@@ -350,7 +352,7 @@
 
     @property
     def busy(self) -> bool:
-        return bool(self.open or self.lent)
+        return bool(self.open or self.lent or self._held)
 
     @property
     def rests_since(self) -> float:
@@ -362,7 +364,12 @@
         self.ends_at = max(self.ends_at, self._answered_at + IDLE_S)
 
     def offer(self, number: int) -> handover.Offered:
-        """All that another process must know to go on, but for the bytes that the connection holds."""
+        """All that another process must know to go on, but for the bytes that the connection holds.
+
+        What it lists must not change any more, so that answers are held from this very moment on: one before
+        it is written here, one after it is listed as open.
+        """
+        self._held = []
         connection = self.connection
         return handover.Offered(
             number=number,
@@ -383,17 +390,17 @@
     async def hand_over(self, relay: Relay) -> bool:
         """Offers the connection to another process; whether that one has it.
 
-        Answers that come meanwhile are held, and then go to whoever has the connection.
+        Answers that come once it is offered are held, and then go to whoever has the connection.
         """
 
         async def transfer() -> bool:
-            self._held, self._offered_to, taken = [], relay, False
+            self._offered_to, taken = relay, False
             try:
                 taken = await relay.hand(self)
             finally:
                 held, self._held, self._offered_to = self._held, None, None
                 self.relay = relay if taken else self.relay
-                for tag, text in held:
+                for tag, text in held or ():
                     self._front.answers.give(sum(map(len, text)))
                     self._deliver(tag, text)
             return taken
@@ -452,6 +459,11 @@
                     await client.hand_over(relay)
             await trio.sleep(OFFER_AGAIN_S)
 
+    def note_unclaimed(self, tag: int, why: str) -> None:
+        """An answer that crossed an upgrade reaches nobody: the one place where it is given up."""
+        self.counters.add("answers_unclaimed")
+        log.warning("the answer to tag %d of an older process is dropped: %s", tag, why)
+
     def take_over(self, connection: Connection, tags: handover.Tags, lender: Lender) -> Client:
         """Goes on with a connection that another process gives."""
         client = self._connected(connection)
--- a/starlinghaven/program/fronts/taker.py
+++ b/starlinghaven/program/fronts/taker.py
@@ -202,10 +202,13 @@
             arrival.connection.discard()
 
     def _answered(self, frame: handover.Answered) -> None:
-        if client := self._clients.get(frame.number):
-            client.returned(frame.tag, frame.text)
-            if not client.lent:
-                del self._clients[frame.number]
+        client = self._clients.get(frame.number)
+        if client is None:
+            self._front.note_unclaimed(frame.tag, "nothing is awaited on its connection")
+            return
+        client.returned(frame.tag, frame.text)
+        if not client.lent:
+            del self._clients[frame.number]
 
     def withdrawn(self, client: Client, tag: int) -> None:
         """A client has withdrawn a tag that the older process answers."""
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -288,6 +288,95 @@
         await until(lambda: len(older.taken) == 10)  # it reads on
 
 
+@in_trio
+async def test_an_answer_before_the_offer_of_its_connection_is_not_lost(tmp_path: Path) -> None:
+    """Guards against an answer that is held at one moment while open tags are listed at a later one."""
+    older, newer = Side(), Side()
+    async with sides(older, newer) as nursery:
+        client = await caller(older)
+        for _ in range(3):
+            await client.call()
+        await until(lambda: len(older.taken) == 3)
+        one, other = trio.socket.socketpair(socket.AF_UNIX)
+        nursery.start_soon(Taker(other, newer.handover, newer.front).run)
+        giver = Giver(one, older.handover.channel, older.front)
+        nursery.start_soon(giver.run)
+        async with giver._offering:
+            nursery.start_soon(older.front.hand_over, giver)
+            await until(lambda: all(link.connection._resting for link in older.front.clients.all))
+            older.answer(0, b"before the offer")
+        await until(lambda: newer.count("connections_taken_over"))
+        older.answer(1, b"after it")
+        older.answer(2, b"after it too")
+        assert sorted(await client.answers(3)) == [
+            (1, b"RESULT", b"before the offer"),
+            (2, b"RESULT", b"after it"),
+            (3, b"RESULT", b"after it too"),
+        ]
+        assert newer.count("answers_unclaimed") == 0
+
+
+@pytest.mark.parametrize("says_no", [True, False])
+def test_answers_around_a_refused_offer_and_the_next_one_reach_their_client(says_no: bool) -> None:
+    """Guards against what was held for an offer that came to nothing, and what the next offer lists."""
+    trio.run(_answers_around_two_offers, says_no)
+
+
+async def _answers_around_two_offers(says_no: bool) -> None:
+    older, (sock, newer) = Side(), pair()
+    async with sides(older) as nursery:
+        client = await caller(older)
+        for _ in range(4):
+            await client.call()
+        await until(lambda: len(older.taken) == 4)
+        give(nursery, older, sock)
+        first = await newer.until(handover.Offered)
+        assert isinstance(first, handover.Offered) and first.tags.open == (1, 2, 3, 4)
+        older.answer(0, b"amid the first offer")
+        if not says_no:
+            newer.end()
+            for number in (1, 2, 3):
+                older.answer(number, b"alone again")
+            assert sorted(await client.answers(4)) == [
+                (1, b"RESULT", b"amid the first offer"),
+                *((tag, b"RESULT", b"alone again") for tag in (2, 3, 4)),
+            ]
+            return
+        await newer.say(handover.Refused(first.number, "no room"))
+        await until(lambda: older.count("connections_refused"))
+        older.answer(1, b"between the offers")
+        second = await newer.until(handover.Offered)
+        assert isinstance(second, handover.Offered) and second.tags.open == (3, 4)
+        older.answer(2, b"amid the second")
+        await newer.say(handover.Accepted(second.number))
+        await newer.until(handover.Complete)
+        await newer.say(handover.Taken(second.number))
+        passed_on = await newer.until(handover.Answered)
+        older.answer(3, b"after it")
+        told = [passed_on, await newer.until(handover.Answered)]
+        assert [(frame.number, frame.tag) for frame in told if isinstance(frame, handover.Answered)] == [
+            (second.number, 3),
+            (second.number, 4),
+        ]
+        assert [tag for tag, _, _ in await client.answers(2)] == [1, 2]
+
+
+@in_trio
+async def test_a_returned_answer_that_nobody_awaits_is_counted(tmp_path: Path) -> None:
+    """Guards against answers that are dropped without a word between the processes of an upgrade."""
+    newer, (sock, older) = Side(), pair()
+    async with sides(newer) as nursery:
+        nursery.start_soon(Taker(sock, newer.handover, newer.front).run)
+        one, other = tcp_pair()
+        with one, other:
+            tags = handover.Tags(2, (), (2,))
+            await older.say(handover.Offered(1, COST, 0, 0, trio.current_time(), tags), one.fileno())
+            await older.say(handover.Complete(1))
+            await older.say(handover.Answered(1, 1, b"nobody awaits it"))
+            await older.say(handover.Answered(9, 1, b"nor on this connection"))
+            await until(lambda: newer.count("answers_unclaimed") == 2)
+
+
 @in_trio
 async def test_a_cancel_that_the_newer_process_has_told_counts_before_it_is_read(tmp_path: Path) -> None:
     """Also where the word that the connection is taken, which came before it, is unread as well."""
