Read and apply lists of stores in pieces, and count what can't be read as told

At 64 MB, in a fleet of 3,200 caches, one event that 960 are gone made a proxy deaf for good: purged copies served, a drained cache asked on.

Cause: the longest frame read followed from the memory limit alone. A longer one was taken for no frame, the connection made anew after 50 ms, and the same event came again, without end and without any note that news was lost.

Why this works: a list needs the memory of 64 lines at a time, whatever its length; the event's number counts with its last piece. Stores that a whole list has not named stay until its end, or until a named one needs their memory. What is no frame counts as told: purge floor, cold budgets without proof, a growing pause, a log line, `changelog_unreadable`, `degraded` for balancers.

--- a/starlinghaven/health/model.py
+++ b/starlinghaven/health/model.py
@@ -34,7 +34,7 @@
     STARTING = "starting"  # no list of stores yet
     WARMING = "warming"  # a list is held, but it is the old one: not yet confirmed
     READY = "ready"
-    DEGRADED = "degraded"  # ready, with fewer stores reachable: a lower weight
+    DEGRADED = "degraded"  # ready, with fewer stores reachable (a lower weight), or deaf to the change log
     OVERLOADED = "overloaded"  # alive, but new work would wait: balancers send it elsewhere
     UNAVAILABLE = "unavailable"  # alive, but nothing could be served: no store reachable, or stalled
     DRAINING = "draining"  # SIGTERM: what is open is finished, nothing new is welcome
@@ -74,6 +74,7 @@
     clients_limit: int = 0
     lag_ms: float = 0.0  # how late the event loop wakes, lately
     engine_idle_ms: float = 0.0  # since the engine last took an event while some were waiting
+    news_unreadable: bool = False  # what the change log sends can't be read: purges and drains go unheard
     unserved: float = 0.0  # share of recent answers that did not serve, 0 to 1
     draining: bool = False
     stopped: bool = False
@@ -208,6 +209,8 @@
         self.calm_from_ms = None
         if share < t.degraded_below:
             return State.DEGRADED, f"{f.reachable} of {f.own_stores} own stores reachable"
+        if f.news_unreadable:
+            return State.DEGRADED, "the change log can't be read"
         return State.READY, "list confirmed, stores reachable"
 
     def _confirms(self, f: Facts) -> bool:
--- a/starlinghaven/program/changelog.py
+++ b/starlinghaven/program/changelog.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Iterator, Sequence
+from dataclasses import replace
 
 import trio
 
@@ -29,7 +30,7 @@
 
 SILENCE_S = 2.0  # seconds without even an empty frame, which comes each second
 DIAL_S = 1.0
-MEMORY_OF_FRAME = 32  # times its bytes that a frame may take while it is handled: its lines as objects
+MEMORY_OF_LINE = 32  # times its bytes that a line of a list may take while it is handled, as objects
 MOST_ENDED_AHEAD = 2_048  # stores whose end is remembered ahead of its turn
 PAUSE_S, PAUSE_MOST_S = 0.05, 0.8  # seconds between two tries, doubled up to the most
 PHASES = {
@@ -40,7 +41,7 @@
 
 
 def event(news: changelog.News, first: bool = False) -> Event:
-    """The engine's event for one of the log."""
+    """The engine's event for one of the log; `first`: the one that a start is told."""
     if isinstance(news, changelog.Purged):
         return PurgeNews(news.group, news.key, news.unix_ms)
     kind = i.ListKind.COMPLETE if news.whole else i.ListKind.PARTIAL
@@ -48,7 +49,18 @@
         Store(r.id, r.address, PHASES[r.state], r.zone, r.kind, r.cell, r.weight, r.started_unix_ms)
         for r in news.records
     )
-    return FleetNews(i.ListKind.PERSISTED if first else kind, stores)
+    return FleetNews(i.ListKind.PERSISTED if first else kind, stores, news.first, news.last)
+
+
+def pieces(news: changelog.News) -> Iterator[changelog.News]:
+    """An event in pieces of as many lines as are read from the log at once."""
+    if not isinstance(news, changelog.Fleet):
+        yield news
+        return
+    size, lines = changelog.PIECE_LINES, len(news.records)
+    for at in range(0, max(lines, 1), size):
+        part, last = news.records[at : at + size], at + size >= lines
+        yield changelog.Fleet(news.whole, part, news.first and not at, news.last and last)
 
 
 def listed(known: Iterable[tuple[int, changelog.News]]) -> set[str]:
@@ -73,6 +85,8 @@
         self._ended_ahead: dict[str, int] = {}  # stores whose end was heard ahead of its turn, and its number
         engine.news_unread = self._has_unread
         self.heard = False  # a frame came since the start: the list given at the start is confirmed
+        self.unreadable = False  # what the log sends next can't be read: nothing behind it is heard
+        self._advanced = False  # the connection brought news in order
 
     @property
     def confirms(self) -> bool:
@@ -101,7 +115,9 @@
             if number == self.last + 1:
                 self.last = number
                 self._counters.add("changelog_from_configuration")
-                await self._engine.post(event(news))
+                for piece in pieces(news):
+                    await self._engine.post(event(piece))
+                    await trio.lowlevel.checkpoint()
 
     async def run(self) -> None:
         """Follows the log for ever, over one connection after the other."""
@@ -110,15 +126,15 @@
             with trio.CancelScope() as self._moved:
                 while self._address:
                     try:
-                        heard = await self._follow()
+                        advanced = await self._follow()
                     except (OSError, NoMemory) as error:
-                        heard = False
+                        advanced = False
                         log.warning("change log: %s", error)
                     except Exception:  # whatever one connection meets, the next one is made
-                        heard = False
+                        advanced = False
                         log.exception("the connection to the change log failed")
                         self._counters.add(CONTAINED)
-                    pause = PAUSE_S if heard else min(2 * pause, PAUSE_MOST_S)
+                    pause = PAUSE_S if advanced else min(2 * pause, PAUSE_MOST_S)
                     self._counters.add("changelog_lost")
                     log.info("change log lost after event %d, again in %.2f s", self.last, pause)
                     await trio.sleep(pause)
@@ -126,7 +142,7 @@
             pause = PAUSE_S
 
     async def _follow(self) -> bool:
-        """One connection to its end; whether anything was heard on it."""
+        """One connection to its end; whether it brought anything new."""
         sock = trio.socket.socket()
         try:
             with trio.move_on_after(DIAL_S) as dialing:
@@ -141,8 +157,7 @@
         self._connection, self._ends_when_read, self._behind_gap = connection, False, False
         connection.write(changelog.resume(self.last))
         log.info("change log connected address=%s after event %d", self._address, self.last)
-        most_bytes = self._accounts.input.limit // MEMORY_OF_FRAME
-        reader, started = changelog.FrameReader(most_bytes), connection.heard_at
+        reader, self._advanced = changelog.FrameReader(), False
 
         async def feed(ring: Ring) -> int:
             try:
@@ -151,8 +166,8 @@
                 if self._ends_when_read and not connection.pending:
                     connection.abort()
             except ProtocolError as error:  # caught here: one bad frame must not end the program
-                log.warning("change log: %s", error)
                 connection.abort()
+                await self._not_read(error)
             return reader.wanted
 
         try:
@@ -162,7 +177,18 @@
                 nursery.cancel_scope.cancel()
         finally:
             self._connection = None
-        return connection.heard_at > started
+        return self._advanced
+
+    async def _not_read(self, error: ProtocolError) -> None:
+        """What the log sends next is no frame: it counts as told, and nobody knows what it tells."""
+        self._counters.add("changelog_unreadable")
+        log.error("change log: what follows event %d can't be read: %s", self.last, error)
+        self.unreadable = True
+        await self._engine.post(NewsMissed())
+
+    def _advance(self) -> None:
+        """Notes that the log was heard in order."""
+        self._advanced, self.unreadable = True, False
 
     async def _read_frame(self, reader: changelog.FrameReader, ring: Ring) -> bool:
         """Reads and handles one frame; False until more has come in. Errors: ProtocolError."""
@@ -171,9 +197,12 @@
         except changelog.UnusableEvent as event:
             await self._unusable(event)
             return True
-        if frame is not None:
-            await self._received(*frame)
-        return frame is not None
+        if frame is None:
+            return False
+        await self._received(*frame)
+        if isinstance(frame[1], changelog.Fleet) and not frame[1].last:
+            await trio.lowlevel.checkpoint()  # others are served between the pieces of a long list
+        return True
 
     async def _unusable(self, event: changelog.UnusableEvent) -> None:
         """Asks once more for an event that can't be read; one that stays so is passed over like a gap.
@@ -190,6 +219,7 @@
             return
         log.error("change log: event %d is passed over", event.number)
         self.last = event.number
+        self._advance()
         await self._engine.post(NewsMissed())
 
     @staticmethod
@@ -234,8 +264,9 @@
         if not isinstance(news, changelog.Fleet) or not self._ended_ahead:
             return news
         records = tuple(r for r in news.records if self._ended_ahead.get(r.id, number) <= number)
-        self._ended_ahead = {store: n for store, n in self._ended_ahead.items() if n > number}
-        return changelog.Fleet(news.whole, records)
+        if news.last:
+            self._ended_ahead = {store: n for store, n in self._ended_ahead.items() if n > number}
+        return replace(news, records=records)
 
     def _follows(self, number: int, news: changelog.News | None) -> bool:
         """Whether nothing is missing before a frame; the last event may come twice."""
@@ -245,8 +276,12 @@
         if number != self.last + 1:
             log.warning("change log: event %d follows %d also when asked again", number, self.last)
             await self._engine.post(NewsMissed())
-        self.last = number  # first: what follows queues the event at once, and may be cancelled after that
-        await self._engine.post(event(self._current(number, news)))
+            self.last = number - 1  # what is left of this event follows
+        current = self._current(number, news)
+        if not isinstance(news, changelog.Fleet) or news.last:
+            self.last = number  # first: what follows queues the event at once, and may then be cancelled
+            self._advance()
+        await self._engine.post(event(current))
         if isinstance(news, changelog.Purged):
             made_ms = self._engine.clock.earliest(news.unix_ms)
             await self._renew(self._progress.stamped(made_ms))
@@ -256,6 +291,7 @@
         as_of_ms = self._progress.heartbeat(self._engine.clock.now())
         if number not in (0, self.last):
             return  # it goes back, or holds what it does not send: it proves nothing
+        self._advance()
         await self._renew(as_of_ms)
         if self._progress.late and not self._ends_when_read:
             log.warning("change log: its frames come late")
--- a/starlinghaven/program/memory_plan.py
+++ b/starlinghaven/program/memory_plan.py
@@ -13,8 +13,8 @@
 from pathlib import Path
 
 from starlinghaven.memory import Memory
-from starlinghaven.program.changelog import MEMORY_OF_FRAME
-from starlinghaven.protocol.changelog import MOST_FRAME
+from starlinghaven.program.changelog import MEMORY_OF_LINE
+from starlinghaven.protocol.changelog import PIECE_BYTES
 from starlinghaven.routing.request_memory import REQUEST_BYTES, EngineAccounts
 from starlinghaven.routing.store_table import STORE_BYTES
 from starlinghaven.transport.connection import COST, ConnectionAccounts
@@ -31,6 +31,7 @@
 LARGEST_CALL = Ring.room(64 * KIB + 1)  # the ring of a call with the largest body
 SPARE_STORES = 32  # that a list may grow by, beside half as many as it has at the start
 LEAST_STORE_CONNECTIONS = 8
+PIECES_AT_WORK = 4  # pieces of a list of stores that are read before they are applied
 
 
 class TooLittleMemory(ValueError):
@@ -72,7 +73,7 @@
     "ids": Share(1 / 32, 128 * KIB, 4 * MIB),
     "tables": Share(1 / 24, 192 * KIB, 12 * MIB),
     "tags": Share(1 / 64, 64 * KIB),
-    "news": Share(1 / 48, 192 * KIB, MOST_FRAME * MEMORY_OF_FRAME),
+    "news": Share(1 / 48, PIECES_AT_WORK * PIECE_BYTES * MEMORY_OF_LINE, 128 * PIECE_BYTES * MEMORY_OF_LINE),
     "stores": Share(1 / 24, LEAST_STORE_CONNECTIONS * COST),
     "clients": Share(0.40, 16 * COST),
 }
--- a/starlinghaven/program/operations/health.py
+++ b/starlinghaven/program/operations/health.py
@@ -101,6 +101,7 @@
             clients_limit=clients_limit,
             lag_ms=self._lag_ms,
             engine_idle_ms=now - e.turned_at if waiting else 0.0,
+            news_unreadable=self._log is not None and self._log.unreadable,
             unserved=e.unserved(),
             draining=e.draining,
             stopped=e.draining and not e.ready,
--- a/starlinghaven/protocol/changelog.py
+++ b/starlinghaven/protocol/changelog.py
@@ -11,9 +11,14 @@
 from starlinghaven.protocol import ProtocolError, numbers
 from starlinghaven.transport.ring import Ring
 
-MOST_FRAME = 256 * 1024
+MOST_FRAME = 4 * 1024 * 1024  # bytes: some fifty times the whole list of the largest fleet
 _LENGTH, _HEAD, _RECORD = struct.Struct(">I"), struct.Struct(">QB"), struct.Struct(">I4sHBBBHIQ")
 _OBJECT, _GROUP = struct.Struct(">8sQ"), struct.Struct(">HQ")
+PIECE_LINES = 64  # of a list that are read at once
+PIECE_BYTES = PIECE_LINES * _RECORD.size
+WHOLE_LIST, LIST_CHANGES, OBJECT_PURGE, GROUP_PURGE = 1, 2, 3, 4
+_FLEETS = (WHOLE_LIST, LIST_CHANGES)
+_PURGES = {OBJECT_PURGE: _OBJECT, GROUP_PURGE: _GROUP}
 HEARTBEAT_MS = 1_000.0  # between two empty frames
 LATE_MS = 3_000.0  # that frames may lag behind what the connection proves
 SETTLE_MS = 60_000.0  # of a connection in which it is not judged: each new one delays what is to come
@@ -40,10 +45,12 @@
 
 @dataclass(frozen=True, slots=True)
 class Fleet:
-    """The whole list, or changes to it."""
+    """The whole list, or changes to it; of a long one a piece."""
 
     whole: bool
     records: tuple[Record, ...]
+    first: bool = True  # no piece of the same event came before
+    last: bool = True  # ... and none follows
 
 
 @dataclass(frozen=True, slots=True)
@@ -58,6 +65,10 @@
 News = Fleet | Purged
 
 
+class _NeedsMore(Exception):
+    """More of a frame must come in."""
+
+
 class UnusableEvent(ProtocolError):
     """An event whose payload can't be read. What follows it can: its frame had the length that it said."""
 
@@ -66,37 +77,97 @@
         self.number = number
 
 
+@dataclass(slots=True)
+class _OpenFrame:
+    """A frame that is being read."""
+
+    number: int
+    kind: int
+    left: int  # bytes of its payload that are still to come
+    begun: bool = False  # a piece of it has been read
+    problem: str = ""  # why it can't be read: the rest of it is skipped
+
+
 class FrameReader:
-    """Reads frames from a ring. An empty frame comes out as no news under its number."""
+    """Reads frames from a ring. An empty frame comes out as no news under its number.
+
+    A list of stores comes out in pieces as it comes in, so that a frame needs no memory for all of it.
+    """
 
-    def __init__(self, most_bytes: int = MOST_FRAME) -> None:
-        """`most_bytes`: of a frame, where there is memory for no longer one."""
-        self._most = min(most_bytes, MOST_FRAME)
+    def __init__(self) -> None:
         self.wanted = _LENGTH.size
         self._length: int | None = None
+        self._frame: _OpenFrame | None = None
 
     def next(self, ring: Ring) -> tuple[int, News | None] | None:
-        """The next frame's number and event; None until more has come in.
+        """The next event's number and news, of a list a piece; None until more has come in.
 
         Errors: UnusableEvent, after which the next frame can be read; ProtocolError for what is no frame.
         """
+        if self._frame is None:
+            self._frame = self._begin(ring)
+        frame = self._frame
+        if frame is None:
+            return None
+        try:
+            news = self._read(frame, ring)
+        except _NeedsMore:
+            return None
+        if not frame.left:
+            self._frame, self.wanted = None, _LENGTH.size
+            if frame.problem:
+                raise UnusableEvent(frame.number, frame.problem)
+        return frame.number, news
+
+    def _begin(self, ring: Ring) -> _OpenFrame | None:
+        """The next frame, once its head has come in. Errors: ProtocolError."""
         if self._length is None:
             if ring.size < _LENGTH.size:
                 return None
             (self._length,) = _LENGTH.unpack(ring.take(_LENGTH.size))
-            if not _HEAD.size <= self._length <= self._most:
+            if not _HEAD.size <= self._length <= MOST_FRAME:
                 raise ProtocolError(f"a frame of {self._length} bytes")
-        if ring.size < self._length:
-            self.wanted = self._length
+        self.wanted = _HEAD.size
+        if ring.size < _HEAD.size:
             return None
-        frame, self._length, self.wanted = ring.take(self._length), None, _LENGTH.size
-        number, kind = _HEAD.unpack_from(frame)
+        number, kind = _HEAD.unpack(ring.take(_HEAD.size))
         if number > numbers.MOST_EVENT:
             raise ProtocolError(f"a frame with the number {number}")
+        left, self._length = self._length - _HEAD.size, None
+        return _OpenFrame(number, kind, left, problem=_size_problem(kind, left))
+
+    def _read(self, frame: _OpenFrame, ring: Ring) -> News | None:
+        """The next piece of a frame. Errors: _NeedsMore."""
+        if frame.problem or frame.kind not in (*_FLEETS, *_PURGES):
+            self._skip(frame, ring)
+            return None
+        raw = self._take(frame, ring, min(frame.left, PIECE_BYTES))
+        if frame.kind in _PURGES:
+            return _purge(frame.kind, raw)
+        first, frame.begun = not frame.begun, True
         try:
-            return number, _news(kind, frame[_HEAD.size :])
+            records = tuple(_record(line) for line in _RECORD.iter_unpack(raw))
         except ProtocolError as error:
-            raise UnusableEvent(number, str(error)) from error
+            frame.problem = str(error)
+            self._skip(frame, ring)
+            return None
+        return Fleet(frame.kind == WHOLE_LIST, records, first, last=not frame.left)
+
+    def _take(self, frame: _OpenFrame, ring: Ring, size: int) -> bytes:
+        if ring.size < size:
+            self.wanted = size
+            raise _NeedsMore
+        frame.left -= size
+        return ring.take(size) if size else b""
+
+    def _skip(self, frame: _OpenFrame, ring: Ring) -> None:
+        """Drops what has come in of the rest of a frame. Errors: _NeedsMore, until it has come whole."""
+        there = min(frame.left, ring.size)
+        ring.skip(there)
+        frame.left -= there
+        if frame.left:
+            self.wanted = 1
+            raise _NeedsMore
 
 
 class Progress:
@@ -133,19 +204,18 @@
         return settled and self._behind_ms > LATE_MS
 
 
-def _news(kind: int, payload: bytes) -> News | None:
-    try:
-        if kind in (1, 2):
-            return Fleet(kind == 1, tuple(_record(raw) for raw in _RECORD.iter_unpack(payload)))
-        if kind == 3:
-            key, at = _OBJECT.unpack(payload)
-            return Purged(key.hex(), 0, at)
-        if kind == 4:
-            group, at = _GROUP.unpack(payload)
-            return Purged(None, group, at)
-    except struct.error as error:
-        raise ProtocolError(f"kind {kind}: {error}") from error
-    return None  # nothing new, or a kind of later days
+def _size_problem(kind: int, size: int) -> str:
+    """Why a payload of this size can't be one of this kind; empty if it can."""
+    if kind in _FLEETS and size % _RECORD.size:
+        return f"kind {kind}: {size} bytes are no whole number of lines"
+    if kind in _PURGES and size != _PURGES[kind].size:
+        return f"kind {kind}: {size} bytes"
+    return ""
+
+
+def _purge(kind: int, payload: bytes) -> Purged:
+    name, at = _PURGES[kind].unpack(payload)
+    return Purged(None, name, at) if kind == GROUP_PURGE else Purged(name.hex(), 0, at)
 
 
 def _record(raw: tuple[Any, ...]) -> Record:
--- a/starlinghaven/routing/engine.py
+++ b/starlinghaven/routing/engine.py
@@ -690,7 +690,12 @@
                 self.caches.forget(past)
         self.heard &= self._stores.ids
         self.counters.add("lists")
-        self._decide(i.Members(news.kind, tuple(members)))
+        if news.first and news.last:
+            self._decide(i.Members(news.kind, tuple(members)))
+            return
+        self._decide(i.Members(i.ListKind.PARTIAL, tuple(members)))
+        if news.last and news.kind is not i.ListKind.PARTIAL:
+            self._decide(i.Members(i.ListKind.COMPLETE, tuple(self._stores.members())))
 
     def _by_hand(self, hand: Hand) -> None:
         known, changed = self._stores.by_hand(hand)
--- a/starlinghaven/routing/store_table.py
+++ b/starlinghaven/routing/store_table.py
@@ -26,6 +26,8 @@
         self._account = account or own_account(UNBOUNDED)
         self.passed_over = 0  # lines of new stores for which there was no memory
         self._stores: dict[str, Store] = {}
+        self._at: dict[str, str] = {}  # who is at an address: one store at the most
+        self._unnamed: set[str] = set()  # known stores that a whole list has not named up to now
         self._excluded: set[str] = set()  # by hand; whatever the list says of them
         self._included_at: dict[str, float] = {}  # when stores were put back by hand: they may be cold
         self._started_at: dict[str, tuple[float, float]] = {}  # a start as listed, and on the clock
@@ -69,17 +71,29 @@
         return not address or line.address == address
 
     def update(self, news: FleetNews) -> list[i.Member]:
-        """Takes over a list, or changes to it; returns every line that it changes, for the Router."""
-        if news.kind is not i.ListKind.PARTIAL:
-            self._account.give(STORE_BYTES * len(self._stores))
-            self._stores.clear()
+        """Takes over a list, or changes to it; returns every line that it changes, for the Router.
+
+        A whole list may come in pieces. Stores that it does not name are gone with its last piece, or before
+        that where their memory is needed.
+        """
+        whole = news.kind is not i.ListKind.PARTIAL
+        if news.first or not whole:
+            self._unnamed = set(self._stores) if whole else set()
         members: list[i.Member] = []
         for store in news.stores:
+            self._unnamed.discard(store.id)
             members += self._place(store)
+        if whole and news.last:
+            members += [self._end(store) for store in sorted(self._unnamed)]
+            self._unnamed = set()
         self._included_at = {s: at for s, at in self._included_at.items() if s in self._stores}
         self._started_at = {s: at for s, at in self._started_at.items() if s in self._stores}
         return members
 
+    def members(self) -> list[i.Member]:
+        """All lines, for the Router."""
+        return [self._member(store) for store in self._stores.values()]
+
     def _place(self, store: Store) -> list[i.Member]:
         """Takes one line of the list; returns the lines of all stores that it changes.
 
@@ -87,30 +101,57 @@
         one that started later is there, and what is sent to the other would reach it.
         """
         changed = []
-        for other in [o for o in self._stores.values() if o.address == store.address and o.id != store.id]:
-            if store.phase is not i.Phase.GONE and store.started_unix_ms >= other.started_unix_ms:
-                self._drop(other.id)
-                changed.append(self._member(replace(other, phase=i.Phase.GONE)))
+        other = self._stores.get(self._at.get(store.address, ""))
+        if other is not None and other.id != store.id:
+            later = store.phase is not i.Phase.GONE and store.started_unix_ms >= other.started_unix_ms
+            if later or other.id in self._unnamed:
+                changed.append(self._end(other.id))
             else:
                 store = replace(store, phase=i.Phase.GONE)
+        if store.phase is not i.Phase.GONE and store.id not in self._stores:
+            changed += self._make_room()
         if store.phase is i.Phase.GONE or not self._keep(store):
             self._drop(store.id)
             store = replace(store, phase=i.Phase.GONE)
         return [*changed, self._member(store)]
 
+    def _make_room(self) -> list[i.Member]:
+        """Lets go of a store that a whole list has not named yet, if one that it names needs its memory.
+
+        Should the list name it after all, it is new then.
+        """
+        if self._account.allows(STORE_BYTES) or not self._unnamed:
+            return []
+        return [self._end(self._unnamed.pop())]
+
     def _keep(self, store: Store) -> bool:
         """Keeps the line of a store; one that is new only where there is memory for it."""
-        if store.id not in self._stores:
+        known = self._stores.get(store.id)
+        if known is None:
             if not self._account.allows(STORE_BYTES):
                 self._pass_over(store)
                 return False
             self._account.take_always(STORE_BYTES)
+        elif self._at.get(known.address) == store.id:
+            del self._at[known.address]
         self._stores[store.id] = store
+        self._at[store.address] = store.id
         return True
 
+    def _end(self, store: str) -> i.Member:
+        """A store is gone; returns its line."""
+        line = self._stores[store]
+        self._drop(store)
+        self._unnamed.discard(store)
+        return self._member(replace(line, phase=i.Phase.GONE))
+
     def _drop(self, store: str) -> None:
-        if self._stores.pop(store, None) is not None:
-            self._account.give(STORE_BYTES)
+        line = self._stores.pop(store, None)
+        if line is None:
+            return
+        self._account.give(STORE_BYTES)
+        if self._at.get(line.address) == store:
+            del self._at[line.address]
 
     def _pass_over(self, store: Store) -> None:
         """A list that is longer than the memory for it: what is not known is not used."""
--- a/starlinghaven/routing/types.py
+++ b/starlinghaven/routing/types.py
@@ -171,8 +171,12 @@
 
 @dataclass(frozen=True, slots=True)
 class FleetNews:
+    """The list of stores, or changes to it; of a long one a piece."""
+
     kind: i.ListKind
     stores: tuple[Store, ...]
+    first: bool = True  # no piece of the same list came before
+    last: bool = True  # ... and none follows
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_health_model.py
+++ b/tests/test_health_model.py
@@ -176,3 +176,12 @@
         line = wire.agent_line(replace(Health().step(Facts(at_ms=0.0)), state=state, cause=cause))
         assert line.endswith(b"\n") and line.count(b"\n") == 1 and line.count(b"#") <= 1
         assert all(32 <= b < 127 for b in line[:-1])
+
+
+def test_a_change_log_that_can_not_be_read_is_told_to_balancers() -> None:
+    """Guards against a proxy that hears no purge and no drain, and looks like one that does."""
+    health = Health()
+    health.step(WELL)
+    deaf = health.step(replace(WELL, at_ms=1_000.0, news_unreadable=True))
+    assert (deaf.state, deaf.cause) == (State.DEGRADED, "the change log can't be read") and deaf.serving
+    assert health.step(replace(WELL, at_ms=2_000.0)).state is State.READY
