Bound the used tags that are remembered, and end no connection for them

Cause: each used tag above a gap was kept for ever, and a full table, of the connection or of the account for all, was taken for a client that breaks the protocol. A tag only has to be new.

Why this works: remembering used tags guards only against clients that break the protocol. 4,096 of a connection are kept, as far as the account allows, and 32 in any case; the lowest make room for new ones. A tag that is open is looked up among the open ones.

--- a/starlinghaven/program/fronts/clients.py
+++ b/starlinghaven/program/fronts/clients.py
@@ -32,7 +32,6 @@
     IDLE = "idle"  # its time without anything owed on it was over
     ROOM = "room"  # another one waited for its place
     ENDING = "ending"  # the program ends, or gives its clients to a successor
-    TAGS = "tags"  # too many used tags had to be kept
 
 
 class ClientLink(Protocol):
@@ -64,10 +63,6 @@
     def ends_at(self) -> float:
         """When, on time.monotonic(), it is closed if nothing is owed on it until then."""
 
-    @property
-    def exhausted(self) -> bool:
-        """Whether it is to be closed as soon as nothing is owed on it."""
-
 
 @dataclass(frozen=True, slots=True)
 class _Delivery:
@@ -111,8 +106,6 @@
                 continue
             if self._is_delivering(link):
                 link.delivering()
-            elif link.exhausted:
-                self.close(link, CloseReason.TAGS)
             elif link.ends_at < now:
                 self.close(link, CloseReason.IDLE)
 
--- a/starlinghaven/program/fronts/http.py
+++ b/starlinghaven/program/fronts/http.py
@@ -207,8 +207,6 @@
     def ends_at(self) -> float:
         return self.since + IDLE_S
 
-    exhausted = False
-
     def delivering(self) -> None:
         """What was answered is still being read."""
         self.since = time.monotonic()
--- a/starlinghaven/program/fronts/platform.py
+++ b/starlinghaven/program/fronts/platform.py
@@ -155,18 +155,25 @@
         try:
             message = platform.parse(words)
         except platform.BadCall as bad:
-            self._tags.use(bad.tag)
+            self._use_tag(bad.tag)
             return self._fail(bad.tag, bad)
         match message:
             case platform.Cancel():
                 await self.withdraw(message.tag)
             case platform.Health():
-                self._tags.use(message.tag)
+                self._use_tag(message.tag)
                 self._write_short(platform.health(message.tag, self._front.state()))
             case platform.Call():
-                self._tags.use(message.tag)
+                self._use_tag(message.tag)
                 self._call(message)
 
+    def _use_tag(self, tag: int) -> None:
+        """Notes a tag. Errors: ProtocolError for one that is open, or known to have been used."""
+        if tag in self.open or self.lent and tag in self.lent:
+            raise ProtocolError("the tag of an open call is used again")
+        if self._tags.use(tag):
+            self._front.counters.add("tags_forgotten")
+
     def _write_short(self, text: bytes) -> None:
         """Writes a few bytes that answer no open request: a client that reads none of them is cut off."""
         self.connection.write(text, leave=self._left_to_others(len(text)))
@@ -345,11 +352,6 @@
         self._answered_at = time.monotonic()
         self.ends_at = max(self.ends_at, time.monotonic() + (WHOLE_S if self.amid else IDLE_S))
 
-    @property
-    def exhausted(self) -> bool:
-        """Whether too many used tags have to be kept."""
-        return self._tags.too_many
-
     @property
     def busy(self) -> bool:
         return bool(self.open or self.lent or self._held)
--- a/starlinghaven/program/fronts/used_tags.py
+++ b/starlinghaven/program/fronts/used_tags.py
@@ -1,4 +1,9 @@
-"""The tags that a client has used on its connection: none may come a second time."""
+"""The tags that a client has used on its connection, as far as they are remembered: none may come again.
+
+Remembering them guards against clients that break the protocol, and only against those. So the memory for it
+is bounded, and where it is used up the lowest are forgotten. That costs a client that keeps to the protocol
+nothing. A tag that is open is no matter of this table: see `Client`.
+"""
 
 from __future__ import annotations
 
@@ -6,12 +11,11 @@
 from bisect import bisect_left
 from collections.abc import Iterable
 
-from starlinghaven.memory import Account, NoMemory
+from starlinghaven.memory import Account
 from starlinghaven.protocol import ProtocolError
 
-MOST_APART = 4 * 4_096  # used tags kept one by one, at which a connection is closed in any case
-MANY_APART = 4_096  # ... and from which it is closed once nothing is open
-PREPAID_APART = 32  # ... up to which they are a part of what a connection costs: as many as may be open
+MOST_APART = 4_096  # used tags of a connection that are kept one by one
+PREPAID_APART = 32  # ... of which so many are a part of what a connection costs: as many as may be open
 TAG_BYTES = 12  # of a tag that is kept by itself
 
 
@@ -31,38 +35,43 @@
         """The used tags above a gap."""
         return tuple(self._apart or ())
 
-    @property
-    def too_many(self) -> bool:
-        """Whether so many are kept one by one that the connection is to be closed once nothing is open."""
-        return self._apart is not None and len(self._apart) >= MANY_APART
-
-    def use(self, tag: int) -> None:
-        """Notes a tag. Errors: ProtocolError for one used before, or if far too many are to be kept.
+    def use(self, tag: int) -> bool:
+        """Notes a tag; whether another one had to be forgotten for it.
 
-        A tag used again can't be answered without doubt which request is meant.
+        Errors: ProtocolError for one that is known to have been used: an answer to it would leave open which
+        request is meant.
         """
         if tag == self.up_to + 1 and self._apart is None:
             self.up_to = tag
-            return
+            return False
         apart = array("Q") if self._apart is None else self._apart
         at = bisect_left(apart, tag)
         if tag <= self.up_to or at < len(apart) and apart[at] == tag:
             raise ProtocolError("a tag is used again")
-        self._count(len(apart) + 1)
         apart.insert(at, tag)
         self._apart = apart
         self._close_gap()
+        return self._forget_lowest()
 
-    def _count(self, kept: int) -> None:
-        """Takes memory for so many tags, beside those that are prepaid."""
-        if kept > MOST_APART:
-            raise ProtocolError("too many tags with gaps between them")
-        wanted = max(kept - PREPAID_APART, 0) - self._counted
-        try:
-            self._account.take(max(wanted, 0) * TAG_BYTES, leave=self._counted * TAG_BYTES)
-        except NoMemory as error:
-            raise ProtocolError("too many tags with gaps between them, on all connections") from error
-        self._counted += max(wanted, 0)
+    def _forget_lowest(self) -> bool:
+        """Forgets those for which there is no memory; whether there were any."""
+        kept = len(self._apart or ())
+        allowed = self._allowed(kept)
+        if self._apart is not None and kept > allowed:
+            del self._apart[: kept - allowed]
+        return kept > allowed
+
+    def _allowed(self, wanted: int) -> int:
+        """Takes memory for so many tags, as far as there is any; how many may be kept.
+
+        Who keeps many leaves as much to others as it has.
+        """
+        counted = min(max(wanted, 0), MOST_APART) - PREPAID_APART
+        free = (self._account.free - self._counted * TAG_BYTES) // TAG_BYTES
+        more = max(min(counted - self._counted, free), 0)
+        self._account.take_always(more * TAG_BYTES)
+        self._counted += more
+        return PREPAID_APART + self._counted
 
     def _close_gap(self) -> None:
         """Lets go of the tags that have no gap below them any more."""
@@ -84,8 +93,7 @@
     def restore(self, up_to: int, apart: Iterable[int]) -> None:
         """Takes over what another process knew of the connection."""
         self.up_to, self._apart = up_to, array("Q", sorted(apart)) or None
-        self._counted = max(len(self._apart or ()) - PREPAID_APART, 0)
-        self._account.take_always(self._counted * TAG_BYTES)
+        self._forget_lowest()
 
     def close(self) -> None:
         """Gives all memory back."""
--- a/starlinghaven/program/operations/console.py
+++ b/starlinghaven/program/operations/console.py
@@ -37,7 +37,7 @@
         self.busy = False
         self.ends_at = time.monotonic() + CALL_S
 
-    amid, rests_since, exhausted = False, math.inf, False
+    amid, rests_since = False, math.inf
 
     async def feed(self, ring: Ring) -> int:
         try:
