Let the signed front wait or refuse where memory is short, and reset no request

Cause: `HttpClient.feed` aborted the connection where less than a quarter of the front's memory was free for the second piece of a request, or where over 64 KB were sent ahead of the request at work.

Why this works: a piece waits for memory as other input does, and after STARVED_S the request gets 503 and an orderly close: it was never sent on. What is sent ahead waits for the response of the request at work. A response without a body always passes, as short answers do on the other front.

--- a/starlinghaven/program/fronts/http.py
+++ b/starlinghaven/program/fronts/http.py
@@ -10,12 +10,13 @@
 from http import HTTPStatus
 
 import h11
+import trio
 
 from starlinghaven.containment import CONTAINED
 from starlinghaven.memory import Account
 from starlinghaven.program.fronts.clients import Clients
 from starlinghaven.routing.types import Counters
-from starlinghaven.transport.connection import Connection
+from starlinghaven.transport.connection import STARVED_S, Connection
 from starlinghaven.transport.listener import Listener
 from starlinghaven.transport.ring import Ring
 
@@ -78,29 +79,42 @@
         self._h11 = h11.Connection(h11.SERVER, max_incomplete_event_size=MOST_HEAD)
         self._head: h11.Request | None = None
         self._body = bytearray()
-        self._ahead = 0
         self._held = 0  # bytes of the budget for what came in and belongs to no answered request
         self.exchange: Exchange | None = None
+        self._responded = trio.Event()  # the exchange at work has its response
         self.since = time.monotonic()  # when it became idle
 
     async def feed(self, ring: Ring) -> int:
-        self._ahead = self._ahead + ring.size if self.exchange else 0
-        if self._ahead > MOST_AHEAD or not self._hold(ring.size):
-            self.connection.abort()
+        """Reads on as the request at work is answered, and as there is memory; nothing at work is cut off."""
+        while self.exchange is not None and len(self._h11.trailing_data[0]) + ring.size > MOST_AHEAD:
+            await self._responded.wait()
+        if not await self._hold(ring.size):
+            ring.skip(ring.size)
+            self._refuse_for_memory()
             return 1
         self._h11.receive_data(ring.take(ring.size))
         await self._read()
         return 1
 
-    def _hold(self, size: int) -> bool:
-        """Takes memory for what came in and leaves the ring; whether there is any."""
+    async def _hold(self, size: int) -> bool:
+        """Takes memory for what came in and leaves the ring; whether there is any, within STARVED_S.
+
+        A request that is at work has no such bound: what is behind it waits for its response.
+        """
         account = self._server.input
-        if not account.allows(size, account.reserve if self._held else 0):
-            account.refuse()
-            return False
-        account.take_always(size)
-        self._held += size
-        return True
+        while True:
+            with trio.move_on_after(STARVED_S):
+                await account.wait_and_take(size, account.reserve if self._held else 0)
+                self._held += size
+                return True
+            if self.exchange is None:
+                return False
+
+    def _refuse_for_memory(self) -> None:
+        """Answers a request that can't be read whole: it was not sent on."""
+        self._server.counters.add("http_refused_for_memory")
+        log.warning("a request is refused: no memory to read it")
+        self._write(_unavailable(), close=True)
 
     def _let_go(self) -> None:
         """Gives back the memory of all but what was sent ahead."""
@@ -137,6 +151,7 @@
         headers = {k.decode("ascii"): v.decode("latin-1") for k, v in self._head.headers}
         target = self._head.target.decode("ascii")
         method = self._head.method.decode("ascii")
+        self._responded = trio.Event()
         self.exchange = Exchange(self, HttpRequest(method, target, headers, bytes(self._body)))
         self._server.counters.add("http_requests")
         await self._server.handle(self.exchange)
@@ -148,7 +163,7 @@
 
     def _write(self, response: HttpResponse, close: bool = False) -> None:
         if not self.connection.has_room(MOST_RESPONSE_HEAD + len(response.body)):
-            response = HttpResponse(HTTPStatus.SERVICE_UNAVAILABLE, headers=[("retry-after", "1")])
+            response = _unavailable()
         head = self._head is not None and self._head.method == b"HEAD"
         headers = [("content-length", str(len(response.body))), *response.headers]
         if response.status == HTTPStatus.NOT_MODIFIED:
@@ -162,7 +177,8 @@
             if response.body and not head:
                 pieces.append(self._h11.send(h11.Data(response.body)) or b"")
             pieces.append(self._h11.send(h11.EndOfMessage()) or b"")
-            self.connection.write(*pieces)
+            instead = b"" if response.body else b"".join(pieces)  # short ones always pass
+            self.connection.write(*pieces, instead=instead)
         except h11.LocalProtocolError as error:
             log.info("no answer possible: %s", type(error).__name__)
             close = True
@@ -173,6 +189,7 @@
         if self.exchange is not exchange:
             return  # the client has left
         self.exchange, self.since = None, time.monotonic()
+        self._responded.set()
         self._server.counters.add(f"http_{response.status}")
         self._write(response)
         self._head, self._body = None, bytearray()
@@ -219,6 +236,10 @@
             await exchange.left()
 
 
+def _unavailable() -> HttpResponse:
+    return HttpResponse(HTTPStatus.SERVICE_UNAVAILABLE, headers=[("retry-after", "1")])
+
+
 class HttpServer:
     """Takes HTTP requests through a listener and has them handled."""
 
